Lay the skeleton: messages, error kinds, seams and checks

Cause: the parts need one set of typed messages, one closed list of error kinds and one facade before they can be built side by side.

--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/__init__.py
@@ -0,0 +1,1 @@
+"""A query tier that spans many shards."""
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: events and the present time in, typed commands out."""
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages, codecs and error kinds; no sockets, no decisions."""
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/protocol/error.py
@@ -0,0 +1,156 @@
+"""The closed list of error kinds and the table from kind to answer."""
+
+import dataclasses
+import enum
+from typing import Final
+
+
+class Ran(enum.StrEnum):
+    """Whether any part of a request may have run at a backend server."""
+
+    NO = "no"
+    PERHAPS = "perhaps"
+    YES = "yes"
+
+
+class Outcome(enum.StrEnum):
+    """How a request ended, as told to its caller."""
+
+    ANSWERED = "answered"
+    PARTIAL = "partial"
+    NOT_RUN = "not-run"
+    FAILED = "failed"
+    UNKNOWN = "unknown"
+
+
+class NotRunKind(enum.StrEnum):
+    """Errors that may be given only where nothing ran."""
+
+    MALFORMED = "malformed"
+    BODY_TOO_LARGE = "body-too-large"
+    UNKNOWN_INDEX = "unknown-index"
+    UNKNOWN_PROFILE = "unknown-profile"
+    MISSING_REQUEST_ID = "missing-request-id"
+    MISSING_EXPIRY = "missing-expiry"
+    EXPIRED = "expired"
+    REQUEST_ID_IN_USE = "request-id-in-use"
+    AMBIGUOUS_TARGET = "ambiguous-target"
+    OVERLOADED = "overloaded"
+    SHUTTING_DOWN = "shutting-down"
+    NO_CONFIGURATION = "no-configuration"
+    NO_SERVER = "no-server"
+    REFUSED_BY_SERVERS = "refused-by-servers"
+    STORE_UNAVAILABLE = "store-unavailable"
+    DELAY_PASSED_UNSENT = "delay-passed-unsent"
+
+
+class FailedKind(enum.StrEnum):
+    """Errors of repeatable requests of which some part may have run."""
+
+    BELOW_FLOOR = "below-floor"
+    SNAPSHOT_LOST = "snapshot-lost"
+
+
+class UnknownKind(enum.StrEnum):
+    """Errors of requests that run at most once and perhaps did."""
+
+    OUTCOME_LOST = "outcome-lost"
+    CLAIMED_ELSEWHERE = "claimed-elsewhere"
+
+
+ErrorKind = NotRunKind | FailedKind | UnknownKind
+
+ERROR_KINDS: Final[tuple[ErrorKind, ...]] = (
+    *NotRunKind,
+    *FailedKind,
+    *UnknownKind,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ErrorAnswer:
+    """What a caller is told for one error kind.
+
+    :param outcome: The outcome stated in the answer.
+    :param ran: Whether work may have run.
+    :param status: The HTTP status of the answer.
+    :param message: One sentence for the caller.
+    """
+
+    outcome: Outcome
+    ran: Ran
+    status: int
+    message: str
+
+
+def _not_run(status: int, message: str) -> ErrorAnswer:
+    return ErrorAnswer(
+        outcome=Outcome.NOT_RUN, ran=Ran.NO, status=status, message=message
+    )
+
+
+def _failed(status: int, message: str) -> ErrorAnswer:
+    return ErrorAnswer(
+        outcome=Outcome.FAILED, ran=Ran.PERHAPS, status=status, message=message
+    )
+
+
+def _unknown(status: int, message: str) -> ErrorAnswer:
+    return ErrorAnswer(
+        outcome=Outcome.UNKNOWN,
+        ran=Ran.PERHAPS,
+        status=status,
+        message=message,
+    )
+
+
+ERROR_TABLE: Final[dict[ErrorKind, ErrorAnswer]] = {
+    NotRunKind.MALFORMED: _not_run(400, "The request could not be read."),
+    NotRunKind.BODY_TOO_LARGE: _not_run(413, "The body is too large."),
+    NotRunKind.UNKNOWN_INDEX: _not_run(404, "No such index."),
+    NotRunKind.UNKNOWN_PROFILE: _not_run(404, "No such profile."),
+    NotRunKind.MISSING_REQUEST_ID: _not_run(
+        400, "A request that is not repeatable needs a request id."
+    ),
+    NotRunKind.MISSING_EXPIRY: _not_run(
+        400, "A request that is not repeatable needs an expiry."
+    ),
+    NotRunKind.EXPIRED: _not_run(410, "The request had expired."),
+    NotRunKind.REQUEST_ID_IN_USE: _not_run(
+        409, "Another request with this id is under way here."
+    ),
+    NotRunKind.AMBIGUOUS_TARGET: _not_run(
+        400,
+        "A request that is not repeatable needs a key, as its index has "
+        "several services.",
+    ),
+    NotRunKind.OVERLOADED: _not_run(
+        503, "Refused so that requests of a higher rank are served."
+    ),
+    NotRunKind.SHUTTING_DOWN: _not_run(503, "This VM is leaving."),
+    NotRunKind.NO_CONFIGURATION: _not_run(
+        503, "This VM has no configuration yet."
+    ),
+    NotRunKind.NO_SERVER: _not_run(503, "No backend server can serve this."),
+    NotRunKind.REFUSED_BY_SERVERS: _not_run(
+        503, "Every backend server asked refused before running."
+    ),
+    NotRunKind.STORE_UNAVAILABLE: _not_run(
+        503, "The platform's store could not take the claim."
+    ),
+    NotRunKind.DELAY_PASSED_UNSENT: _not_run(
+        504, "The delay passed before anything was sent."
+    ),
+    FailedKind.BELOW_FLOOR: _failed(
+        504, "The coverage reached is below the profile's floor."
+    ),
+    FailedKind.SNAPSHOT_LOST: _failed(
+        503, "The snapshot was withdrawn and no other could be read in time."
+    ),
+    UnknownKind.OUTCOME_LOST: _unknown(
+        502, "The request was sent and its outcome is not known."
+    ),
+    UnknownKind.CLAIMED_ELSEWHERE: _unknown(
+        409, "Another attempt holds this request; its outcome is not known."
+    ),
+}
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/protocol/vm.py
@@ -0,0 +1,56 @@
+"""The platform's list of VMs."""
+
+import dataclasses
+import enum
+
+
+class VmRole(enum.StrEnum):
+    """What a VM is for."""
+
+    ENTRY = "entry"
+    BACKEND = "backend"
+
+
+class VmState(enum.StrEnum):
+    """Whether the platform means a VM to stay."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class VmEntry:
+    """One VM in the platform's list.
+
+    :param name: Name of the VM.
+    :param role: What it is for.
+    :param failure_domain: Name of its failure domain.
+    :param address: ``host:port`` that it serves HTTP on.
+    :param peer_address: ``host:port`` for peers; entry VMs only.
+    :param index: Index that it serves; backend servers only.
+    :param service: Service that it belongs to; backend servers only.
+    :param state: Whether it is live or leaving.
+    :param incarnation: Grows each time that the VM is started.
+    """
+
+    name: str
+    role: VmRole
+    failure_domain: str
+    address: str
+    peer_address: str = ""
+    index: str = ""
+    service: str = ""
+    state: VmState = VmState.LIVE
+    incarnation: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class VmList:
+    """The platform's list as it was at one moment.
+
+    :param sequence: Grows with each change of the list.
+    :param vms: The VMs.
+    """
+
+    sequence: int
+    vms: tuple[VmEntry, ...]
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/state/__init__.py
@@ -0,0 +1,1 @@
+"""What a node knows: holdings, servers, fleet and configuration."""
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/state/node.py
@@ -0,0 +1,23 @@
+"""Everything that one node knows, shared by the parts of its core."""
+
+import random
+
+from bluebellbay.settings import Settings
+from bluebellbay.state.configuration import ConfigurationState
+from bluebellbay.state.fleet import FleetView
+from bluebellbay.state.server import ServerTable
+
+
+class NodeState:
+    """The state of one node.
+
+    :param settings: The node's settings.
+    :param rng: The only source of randomness.
+    """
+
+    def __init__(self, *, settings: Settings, rng: random.Random) -> None:
+        self.settings = settings
+        self.rng = rng
+        self.configuration = ConfigurationState()
+        self.fleet = FleetView(node=settings.node, peers=settings.peers)
+        self.servers = ServerTable(indexes=settings.indexes)
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets only: callers, backend servers, platform and peers."""
--- /dev/null
+++ b/packages/bluebellbayd/bluebellbayd/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon on an entry VM."""
--- /dev/null
+++ b/packages/bluebellctl/bluebellctl/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of the operators."""
--- /dev/null
+++ b/packages/standins/bluebellbay_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of the outside systems; never shipped in the binaries."""
--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,183 @@
+"""Runs formatter, linters, type checker and behave, and counts them.
+
+The last line is ``N passed, N failed`` with the known-red ones as skipped.
+Exit code 0 only if nothing failed that KNOWN-RED.txt does not name.
+"""
+
+from collections.abc import Iterator
+import concurrent.futures
+import dataclasses
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BIN = pathlib.Path(sys.executable).parent
+FEATURE_TIMEOUT_S = 900
+PARALLEL_FEATURES = 4
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Verdict:
+    """How one check or scenario ended.
+
+    :param name: Name of the check or scenario.
+    :param passed: Whether it passed.
+    :param output: What it printed, if it failed.
+    """
+
+    name: str
+    passed: bool
+    output: str = ""
+
+
+def run_check(name: str, command: list[str]) -> Verdict:
+    """Run one checking program over the tree.
+
+    :param name: Name of the check.
+    :param command: Program and arguments.
+    :returns: Its verdict.
+    """
+    done = subprocess.run(
+        command, cwd=ROOT, capture_output=True, text=True, check=False
+    )
+    return Verdict(
+        name=name,
+        passed=done.returncode == 0,
+        output=done.stdout + done.stderr,
+    )
+
+
+def run_feature(feature: pathlib.Path) -> list[Verdict]:
+    """Run one feature file.
+
+    :param feature: Path of the file.
+    :returns: A verdict for each scenario.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        report = pathlib.Path(folder) / "report.json"
+        command = [
+            str(BIN / "behave"),
+            "--no-color",
+            "--format=json",
+            f"--outfile={report}",
+            "--format=progress3",
+            str(feature.relative_to(ROOT)),
+        ]
+        try:
+            done = subprocess.run(
+                command,
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+                check=False,
+                timeout=FEATURE_TIMEOUT_S,
+            )
+        except subprocess.TimeoutExpired:
+            return [Verdict(name=feature.name, passed=False, output="late")]
+        verdicts = list(read_report(report, done.stdout + done.stderr))
+        all_passed = all(verdict.passed for verdict in verdicts)
+        if done.returncode != 0 and all_passed:
+            output = done.stdout + done.stderr
+            verdicts.append(
+                Verdict(name=feature.name, passed=False, output=output)
+            )
+        return verdicts
+
+
+def read_report(path: pathlib.Path, output: str) -> Iterator[Verdict]:
+    """Read the verdicts of a behave report.
+
+    :param path: Path of the JSON report.
+    :param output: What behave printed, kept for what failed.
+    :returns: A verdict for each scenario.
+    """
+    if not path.exists() or not path.read_text(encoding="utf-8").strip():
+        return
+    for feature in json.loads(path.read_text(encoding="utf-8")):
+        for element in feature.get("elements", ()):
+            if element["type"] == "background":
+                continue
+            passed = element.get("status") == "passed"
+            yield Verdict(
+                name=element["name"],
+                passed=passed,
+                output="" if passed else output,
+            )
+
+
+def read_known_red() -> set[str]:
+    """Read the names of scenarios that are known to fail.
+
+    :returns: Their names.
+    """
+    lines = (ROOT / "KNOWN-RED.txt").read_text(encoding="utf-8").splitlines()
+    return {
+        line.split("|")[0].strip()
+        for line in lines
+        if line.strip() and not line.startswith("#")
+    }
+
+
+def list_checks() -> dict[str, list[str]]:
+    """List the checking programs.
+
+    :returns: Commands by name.
+    """
+    return {
+        "formatter": [str(BIN / "ruff"), "format", "--check", "."],
+        "linter": [str(BIN / "ruff"), "check", "."],
+        "hacking": [str(BIN / "flake8"), "packages", "features", "tools"],
+        "types": [
+            str(BIN / "mypy"),
+            *(
+                str(path.relative_to(ROOT))
+                for path in sorted(ROOT.glob("packages/*/bluebell*"))
+                if not path.name.endswith(".egg-info")
+            ),
+        ],
+    }
+
+
+def main(wanted: list[str]) -> int:
+    """Run everything, or only the feature files named.
+
+    :param wanted: Paths of feature files; none for all checks.
+    :returns: The exit code.
+    """
+    started = time.monotonic()
+    verdicts: list[Verdict] = []
+    if not wanted:
+        for name, command in list_checks().items():
+            verdicts.append(run_check(name, command))
+    features = [pathlib.Path(item).resolve() for item in wanted] or sorted(
+        ROOT.glob("features/*.feature")
+    )
+    with concurrent.futures.ThreadPoolExecutor(PARALLEL_FEATURES) as pool:
+        for results in pool.map(run_feature, features):
+            verdicts.extend(results)
+    known = read_known_red()
+    failed = [item for item in verdicts if not item.passed]
+    red = [item for item in failed if item.name in known]
+    failed = [item for item in failed if item.name not in known]
+    for output in dict.fromkeys(item.output for item in failed):
+        print(output)
+    for item in verdicts:
+        if item.passed:
+            print(f"ok      {item.name}")
+    for item in red:
+        print(f"known   {item.name}")
+    for item in failed:
+        print(f"FAILED  {item.name}")
+    print(f"took {time.monotonic() - started:.0f} s")
+    passed = len(verdicts) - len(failed) - len(red)
+    tail = f", {len(red)} skipped" if red else ""
+    print(f"{passed} passed, {len(failed)} failed{tail}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
