--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/coordination/dispatch.py
@@ -0,0 +1,277 @@
+"""Sends legs, keeps those in flight, and collects the resulting steps."""
+
+from collections.abc import Iterable
+
+from bluebellbay.coordination.leg import Leg
+from bluebellbay.coordination.leg import Run
+from bluebellbay.coordination.leg import Task
+from bluebellbay.coordination.part import Step
+from bluebellbay.coordination.placement import ReplicaChooser
+from bluebellbay.coordination.snapshot import SnapshotPlanner
+from bluebellbay.coordination.timer import TimerQueue
+from bluebellbay.protocol.answer import Answer
+from bluebellbay.protocol.answer import build_failure
+from bluebellbay.protocol.answer import build_not_run
+from bluebellbay.protocol.command import AnswerCaller
+from bluebellbay.protocol.command import CancelLeg
+from bluebellbay.protocol.command import Field
+from bluebellbay.protocol.command import LogDecision
+from bluebellbay.protocol.command import SendLeg
+from bluebellbay.protocol.error import FailedKind
+from bluebellbay.protocol.error import NotRunKind
+from bluebellbay.protocol.error import UnknownKind
+from bluebellbay.protocol.leg import LegRequest
+from bluebellbay.protocol.proof import NothingRan
+from bluebellbay.state.node import NodeState
+from bluebellbay.state.server import ServerRecord
+
+PART = "query"
+ATTEMPT_PREFIX_BITS = 64
+
+
+class Dispatcher:
+    """What the runs of one node share.
+
+    :param state: What the node knows.
+    """
+
+    def __init__(self, *, state: NodeState) -> None:
+        self.state = state
+        self.counters = state.query_counters
+        self.planner = SnapshotPlanner(servers=state.servers)
+        self.chooser = ReplicaChooser(state=state)
+        self.timers = TimerQueue()
+        self.legs: dict[str, Leg] = {}
+        self.finished: list[Run] = []
+        self._steps: list[Step] = []
+        self._attempts = 0
+        self._prefix = (
+            f"{state.settings.node.name}-"
+            f"{state.rng.getrandbits(ATTEMPT_PREFIX_BITS):016x}-"
+        )
+        self._logs = state.settings.log.decisions
+
+    def emit(self, step: Step) -> None:
+        """Add a step to those that the present event leads to.
+
+        :param step: A command or an internal event.
+        """
+        self._steps.append(step)
+
+    def drain(self) -> Iterable[Step]:
+        """Take the steps collected since the last call."""
+        steps = self._steps
+        self._steps = []
+        return steps
+
+    def log(self, run: Run, sentence: str, *fields: Field) -> None:
+        """Log a decision about a run.
+
+        :param run: The run.
+        :param sentence: One short sentence.
+        :param fields: Values behind the decision.
+        """
+        if not self._logs:
+            return
+        self._steps.append(
+            LogDecision(
+                part=PART,
+                sentence=sentence,
+                request_id=run.request.request_id,
+                fields=fields,
+            )
+        )
+
+    def send(
+        self,
+        run: Run,
+        task: Task,
+        record: ServerRecord,
+        *,
+        snapshot: int,
+        sentence: str,
+        timeout_s: float,
+        now: float,
+    ) -> Leg:
+        """Send a leg of a run to a server.
+
+        :param run: The run.
+        :param task: The range wanted.
+        :param record: The server.
+        :param snapshot: The snapshot to read.
+        :param sentence: The decision, for the log.
+        :param timeout_s: Time in seconds until the transport gives up.
+        :param now: Present time in seconds.
+        :returns: The leg.
+        """
+        self._attempts += 1
+        attempt = f"{self._prefix}{self._attempts}"
+        leg = Leg(
+            attempt=attempt,
+            run=run,
+            task=task,
+            record=record,
+            snapshot=snapshot,
+            sent_at=now,
+        )
+        self.legs[attempt] = leg
+        task.legs.append(leg)
+        task.tried.add(record.name)
+        run.ledger.record_sent()
+        record.outstanding += 1
+        request = run.request
+        if self._logs:
+            self.log(
+                run,
+                sentence,
+                Field(name="server", value=record.name),
+                Field(name="service", value=record.service),
+                Field(name="attempt", value=attempt),
+            )
+        self._steps.append(
+            SendLeg(
+                server=record.name,
+                address=record.address,
+                timeout_s=timeout_s,
+                leg=LegRequest(
+                    attempt=attempt,
+                    request_id=request.request_id,
+                    index=request.index,
+                    service=record.service,
+                    snapshot=snapshot,
+                    start=task.start,
+                    end=task.end,
+                    query=request.query,
+                    repeatable=request.repeatable,
+                    deadline_ms=max(1, int((run.deadline - now) * 1000)),
+                    expires_at=request.expires_at,
+                ),
+            )
+        )
+        return leg
+
+    def end(self, leg: Leg) -> None:
+        """Note that the transport has reported the end of a leg.
+
+        :param leg: The leg.
+        """
+        del self.legs[leg.attempt]
+        if leg in leg.task.legs:
+            leg.task.legs.remove(leg)
+        leg.record.outstanding -= 1
+
+    def cancel(self, leg: Leg) -> None:
+        """Tell a server that a leg is no longer wanted.
+
+        The leg still counts against the server until the transport has
+        reported its end.
+
+        :param leg: The leg.
+        """
+        leg.wanted = False
+        self.counters.cancelled += 1
+        self._steps.append(
+            CancelLeg(
+                server=leg.record.name,
+                address=leg.record.address,
+                attempt=leg.attempt,
+            )
+        )
+
+    def cancel_all(self, tasks: Iterable[Task]) -> None:
+        """Cancel every leg that is under way for some tasks.
+
+        :param tasks: The tasks.
+        """
+        for task in tasks:
+            for leg in task.legs:
+                self.cancel(leg)
+            task.legs = []
+
+    def build_not_run(
+        self, run: Run, kind: NotRunKind, proof: NothingRan, now: float
+    ) -> Answer:
+        """Build the answer to a run of which nothing ran.
+
+        :param run: The run.
+        :param kind: The error kind.
+        :param proof: Evidence that nothing ran.
+        :param now: Present time in seconds.
+        :returns: The answer.
+        """
+        return build_not_run(
+            kind,
+            proof,
+            request_id=run.request.request_id,
+            profile=run.request.profile,
+            config_revision=self.state.configuration.revision,
+            config_confirmed=self.is_confirmed(now),
+        )
+
+    def build_failure(
+        self, run: Run, kind: FailedKind | UnknownKind, now: float
+    ) -> Answer:
+        """Build the answer to a run of which some part may have run.
+
+        :param run: The run.
+        :param kind: The error kind.
+        :param now: Present time in seconds.
+        :returns: The answer.
+        """
+        return build_failure(
+            kind,
+            request_id=run.request.request_id,
+            profile=run.request.profile,
+            config_revision=self.state.configuration.revision,
+            config_confirmed=self.is_confirmed(now),
+        )
+
+    def is_confirmed(self, now: float) -> bool:
+        """Say whether the revision in force was lately confirmed.
+
+        :param now: Present time in seconds.
+        :returns: Whether it was.
+        """
+        return self.state.configuration.is_confirmed(
+            now=now, within_s=self.state.settings.fleet.confirm_s
+        )
+
+    def answer(self, run: Run, answer: Answer) -> None:
+        """Answer a run's caller.
+
+        :param run: The run.
+        :param answer: The whole answer.
+        """
+        count_answer(self.state, answer)
+        sentence = f"Answered as {answer.outcome.value}."
+        kind = answer.error.kind if answer.error else ""
+        self.log(
+            run,
+            sentence,
+            Field(name="error", value=kind),
+            Field(name="snapshot", value=answer.snapshot),
+            Field(name="fraction", value=answer.coverage.fraction),
+        )
+        self._steps.append(AnswerCaller(caller=run.caller, answer=answer))
+
+    def finish(self, run: Run) -> None:
+        """Note that a run is over.
+
+        :param run: The run.
+        """
+        run.finished = True
+        self.finished.append(run)
+
+
+def count_answer(state: NodeState, answer: Answer) -> None:
+    """Count an answer for the metrics.
+
+    :param state: What the node knows.
+    :param answer: The answer.
+    """
+    counters = state.query_counters
+    outcome = answer.outcome.value
+    counters.outcomes[outcome] = counters.outcomes.get(outcome, 0) + 1
+    if answer.error is not None:
+        kind = answer.error.kind
+        counters.refusals[kind] = counters.refusals.get(kind, 0) + 1
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/coordination/query.py
@@ -0,0 +1,314 @@
+"""Queries of callers: from arrival to the one answer."""
+
+from collections.abc import Iterable
+
+from bluebellbay.coordination.admission import check_request
+from bluebellbay.coordination.dispatch import count_answer
+from bluebellbay.coordination.dispatch import Dispatcher
+from bluebellbay.coordination.dispatch import PART
+from bluebellbay.coordination.leg import Leg
+from bluebellbay.coordination.leg import Run
+from bluebellbay.coordination.merge import fits_leg
+from bluebellbay.coordination.part import Part
+from bluebellbay.coordination.part import Step
+from bluebellbay.coordination.posting import Posting
+from bluebellbay.coordination.search import Search
+from bluebellbay.protocol.answer import build_failure
+from bluebellbay.protocol.answer import build_not_run
+from bluebellbay.protocol.command import AnswerCaller
+from bluebellbay.protocol.command import LogDecision
+from bluebellbay.protocol.error import NotRunKind
+from bluebellbay.protocol.error import UnknownKind
+from bluebellbay.protocol.event import AdmissionClosed
+from bluebellbay.protocol.event import CallerGone
+from bluebellbay.protocol.event import ClaimGranted
+from bluebellbay.protocol.event import ClaimHeld
+from bluebellbay.protocol.event import ClaimRefused
+from bluebellbay.protocol.event import Event
+from bluebellbay.protocol.event import LegFailed
+from bluebellbay.protocol.event import LegRefused
+from bluebellbay.protocol.event import LegReplied
+from bluebellbay.protocol.event import QueriesDrained
+from bluebellbay.protocol.event import QueryArrived
+from bluebellbay.protocol.event import TimePassed
+from bluebellbay.protocol.key_range import KeyRange
+from bluebellbay.protocol.leg import RefusalReason
+from bluebellbay.protocol.proof import prove_nothing_sent
+from bluebellbay.protocol.request import QueryRequest
+from bluebellbay.state.node import NodeState
+
+
+class QueryPart(Part):
+    """Decides everything about callers' requests.
+
+    :param state: The node's shared state.
+    """
+
+    def __init__(self, *, state: NodeState) -> None:
+        super().__init__(state=state)
+        self._dispatcher = Dispatcher(state=state)
+        self._by_caller: dict[int, Run] = {}
+        self._by_request_id: dict[str, Run] = {}
+        self._closed = False
+
+    @property
+    def handles(self) -> tuple[type, ...]:
+        """The kinds of event that the part wants to be told."""
+        return (
+            QueryArrived,
+            CallerGone,
+            LegReplied,
+            LegRefused,
+            LegFailed,
+            ClaimGranted,
+            ClaimRefused,
+            ClaimHeld,
+            AdmissionClosed,
+            TimePassed,
+        )
+
+    def next_wake(self) -> float | None:
+        """Name the time at which ``TimePassed`` is due.
+
+        :returns: Time in seconds, or none if no timer is set.
+        """
+        return self._dispatcher.timers.next_time()
+
+    def step(self, event: Event, now: float) -> Iterable[Step]:
+        """Take one event.
+
+        :param event: The event.
+        :param now: Present time in seconds, Unix time.
+        :returns: Commands and internal events, in order.
+        """
+        match event:
+            case LegReplied():
+                self._take_reply(event, now)
+            case LegRefused():
+                self._take_refusal(event, now)
+            case LegFailed():
+                self._take_failure(event, now)
+            case QueryArrived():
+                self._take_query(event, now)
+            case CallerGone():
+                self._take_gone(event, now)
+            case ClaimGranted() | ClaimRefused() | ClaimHeld():
+                self._take_claim(event, now)
+            case AdmissionClosed():
+                self._close_admission()
+        for timed in self._dispatcher.timers.pop_due(now):
+            timed.wake(now)
+        self._forget_finished()
+        return self._dispatcher.drain()
+
+    def _take_query(self, event: QueryArrived, now: float) -> None:
+        request = event.request
+        kind = self._find_fault(request, now)
+        if kind is not None:
+            self._refuse(event, kind, now)
+            return
+        rival = self._by_request_id.get(request.request_id)
+        if rival is not None:
+            self._refuse_rival(event, rival, now)
+            return
+        profile = self.state.configuration.find_profile(request.profile)
+        assert profile is not None  # noqa: S101
+        run_class = Search if request.repeatable else Posting
+        run = run_class(
+            dispatcher=self._dispatcher,
+            caller=event.caller,
+            request=request,
+            profile=profile,
+            now=now,
+        )
+        self._by_caller[event.caller] = run
+        if request.request_id:
+            self._by_request_id[request.request_id] = run
+        run.start(now)
+
+    def _find_fault(
+        self, request: QueryRequest, now: float
+    ) -> NotRunKind | None:
+        if self._closed:
+            return NotRunKind.SHUTTING_DOWN
+        kind = check_request(request, self.state, now)
+        if kind is not None:
+            return kind
+        if len(self._by_caller) >= self.state.settings.limits.queries:
+            return NotRunKind.OVERLOADED
+        return None
+
+    def _refuse(
+        self, event: QueryArrived, kind: NotRunKind, now: float
+    ) -> None:
+        answer = build_not_run(
+            kind,
+            prove_nothing_sent(),
+            request_id=event.request.request_id,
+            profile=event.request.profile,
+            config_revision=self.state.configuration.revision,
+            config_confirmed=self._dispatcher.is_confirmed(now),
+        )
+        count_answer(self.state, answer)
+        self._log_refusal(event, kind.value)
+        self._dispatcher.emit(
+            AnswerCaller(caller=event.caller, answer=answer)
+        )
+
+    def _refuse_rival(
+        self, event: QueryArrived, rival: Run, now: float
+    ) -> None:
+        if event.request.repeatable and rival.request.repeatable:
+            self._refuse(event, NotRunKind.REQUEST_ID_IN_USE, now)
+            return
+        # The attempt under way may run, so "not run" would mislead whoever
+        # then posts again under another id.
+        kind = UnknownKind.CLAIMED_ELSEWHERE
+        answer = build_failure(
+            kind,
+            request_id=event.request.request_id,
+            profile=event.request.profile,
+            config_revision=self.state.configuration.revision,
+            config_confirmed=self._dispatcher.is_confirmed(now),
+        )
+        count_answer(self.state, answer)
+        self._log_refusal(event, kind.value)
+        self._dispatcher.emit(
+            AnswerCaller(caller=event.caller, answer=answer)
+        )
+
+    def _log_refusal(self, event: QueryArrived, kind: str) -> None:
+        if not self.state.settings.log.decisions:
+            return
+        self._dispatcher.emit(
+            LogDecision(
+                part=PART,
+                sentence=f"Refused as {kind}.",
+                request_id=event.request.request_id,
+            )
+        )
+
+    def _take_gone(self, event: CallerGone, now: float) -> None:
+        run = self._by_caller.get(event.caller)
+        if run is not None:
+            run.abandon(now)
+
+    def _take_reply(self, event: LegReplied, now: float) -> None:
+        leg = self._find_leg(event.server, event.attempt)
+        if leg is None:
+            return
+        self._dispatcher.end(leg)
+        reply = event.reply
+        self._note_hints(event.server, reply.load, reply.leaving)
+        if not leg.wanted:
+            self._dispatcher.counters.dropped += 1
+            return
+        if reply.attempt != leg.attempt or not fits_leg(
+            reply,
+            snapshot=leg.snapshot,
+            start=leg.task.start,
+            end=leg.task.end,
+        ):
+            self._dispatcher.counters.dropped += 1
+            leg.run.take_failure(leg, sent=True, expired=False, now=now)
+            return
+        leg.run.take_reply(leg, reply, now)
+
+    def _take_refusal(self, event: LegRefused, now: float) -> None:
+        leg = self._find_leg(event.server, event.attempt)
+        if leg is None:
+            return
+        self._dispatcher.end(leg)
+        refusal = event.refusal
+        self._note_hints(event.server, refusal.load, refusal.leaving)
+        if refusal.attempt != leg.attempt:
+            self._dispatcher.counters.dropped += 1
+            if leg.wanted:
+                leg.run.take_failure(leg, sent=True, expired=False, now=now)
+            return
+        leg.run.ledger.record_not_run()
+        self._note_refusal(leg, refusal.reason, now)
+        if leg.wanted:
+            leg.run.take_refusal(leg, refusal, now)
+
+    def _take_failure(self, event: LegFailed, now: float) -> None:
+        leg = self._find_leg(event.server, event.attempt)
+        if leg is None:
+            return
+        self._dispatcher.end(leg)
+        if not event.sent:
+            leg.run.ledger.record_not_run()
+        if leg.wanted:
+            leg.run.take_failure(
+                leg, sent=event.sent, expired=event.expired, now=now
+            )
+
+    def _find_leg(self, server: str, attempt: str) -> Leg | None:
+        leg = self._dispatcher.legs.get(attempt)
+        if leg is None or leg.server != server:
+            self._dispatcher.counters.dropped += 1
+            return None
+        return leg
+
+    def _note_hints(self, server: str, load: float, leaving: bool) -> None:
+        record = self.state.servers.servers.get(server)
+        if record is None:
+            return
+        record.hinted_load = load
+        if leaving:
+            record.leaving = True
+
+    def _note_refusal(
+        self, leg: Leg, reason: RefusalReason, now: float
+    ) -> None:
+        table = self.state.servers.holdings[leg.run.request.index]
+        match reason:
+            case RefusalReason.NOT_HELD:
+                denied = KeyRange(start=leg.task.start, end=leg.task.end)
+                table.deny(
+                    server=leg.server,
+                    snapshot=leg.snapshot,
+                    key_range=denied,
+                    now=now,
+                )
+            case RefusalReason.SNAPSHOT_GONE:
+                table.deny_snapshot(
+                    server=leg.server, snapshot=leg.snapshot, now=now
+                )
+            case RefusalReason.LEAVING:
+                record = self.state.servers.servers.get(leg.server)
+                if record is not None:
+                    record.leaving = True
+
+    def _take_claim(
+        self, event: ClaimGranted | ClaimRefused | ClaimHeld, now: float
+    ) -> None:
+        run = self._by_request_id.get(event.request_id)
+        if not isinstance(run, Posting):
+            return
+        match event:
+            case ClaimGranted():
+                run.take_grant(now)
+            case ClaimRefused():
+                run.take_store_failure(now)
+            case ClaimHeld():
+                run.take_held(event.outcome, now)
+
+    def _close_admission(self) -> None:
+        if self._closed:
+            return
+        self._closed = True
+        if not self._by_caller:
+            self._dispatcher.emit(QueriesDrained())
+
+    def _forget_finished(self) -> None:
+        finished = self._dispatcher.finished
+        if not finished:
+            return
+        for run in finished:
+            del self._by_caller[run.caller]
+            if run.request.request_id:
+                del self._by_request_id[run.request.request_id]
+        finished.clear()
+        if self._closed and not self._by_caller:
+            self._dispatcher.emit(QueriesDrained())
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/coordination/snapshot.py
@@ -0,0 +1,236 @@
+"""Chooses the snapshot of a query and plans who may read which range."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import dataclasses
+
+from bluebellbay.protocol.key_range import KEY_SPACE_END
+from bluebellbay.state.holding import HeldRange
+from bluebellbay.state.server import ServerTable
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Segment:
+    """A range of the key space and the servers that may read all of it.
+
+    :param start: First key of the range.
+    :param end: First key after the range.
+    :param servers: Names of the candidate servers.
+    """
+
+    start: int
+    end: int
+    servers: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Plan:
+    """How one snapshot of an index can be read.
+
+    :param snapshot: The snapshot.
+    :param segments: Disjoint segments, in order.
+    :param size: Number of keys that the segments cover.
+    """
+
+    snapshot: int
+    segments: tuple[Segment, ...]
+    size: int
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the segments cover the whole key space."""
+        return self.size == KEY_SPACE_END
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _PlanKey:
+    version: int
+    unable: frozenset[str]
+
+
+def _sweep(ranges: Iterable[HeldRange]) -> Iterator[Segment]:
+    opening: dict[int, list[str]] = {}
+    closing: dict[int, list[str]] = {}
+    for item in ranges:
+        opening.setdefault(item.key_range.start, []).append(item.server)
+        closing.setdefault(item.key_range.end, []).append(item.server)
+    held: dict[str, int] = {}
+    start = 0
+    for position in sorted(opening.keys() | closing.keys()):
+        if held and position > start:
+            yield Segment(start=start, end=position, servers=tuple(held))
+        for server in opening.get(position, ()):
+            held[server] = held.get(server, 0) + 1
+        for server in closing.get(position, ()):
+            held[server] -= 1
+            if not held[server]:
+                del held[server]
+        start = position
+
+
+def _join(segments: Iterable[Segment]) -> Iterator[Segment]:
+    # A segment joins its neighbour if that costs the narrower of the two
+    # none of its candidates: fewer legs, and no less choice.
+    current: Segment | None = None
+    for segment in segments:
+        if current is None or segment.start != current.end:
+            if current is not None:
+                yield current
+            current = segment
+            continue
+        both = set(current.servers) & set(segment.servers)
+        if len(both) < min(len(current.servers), len(segment.servers)):
+            yield current
+            current = segment
+            continue
+        current = Segment(
+            start=current.start,
+            end=segment.end,
+            servers=tuple(name for name in current.servers if name in both),
+        )
+    if current is not None:
+        yield current
+
+
+def plan_ranges(snapshot: int, ranges: Iterable[HeldRange]) -> Plan:
+    """Plan how to read a snapshot with few legs.
+
+    :param snapshot: The snapshot.
+    :param ranges: Who holds which range of it.
+    :returns: The plan; its segments are disjoint and in order.
+    """
+    segments = tuple(_join(_sweep(ranges)))
+    size = sum(segment.end - segment.start for segment in segments)
+    return Plan(snapshot=snapshot, segments=segments, size=size)
+
+
+class SnapshotPlanner:
+    """Plans queries, and keeps plans until a belief behind them changes.
+
+    :param servers: The backend servers.
+    """
+
+    def __init__(self, *, servers: ServerTable) -> None:
+        self._servers = servers
+        self._keys: dict[str, _PlanKey] = {}
+        self._plans: dict[str, dict[tuple[int, bool], Plan]] = {}
+        self._best: dict[str, Plan | None] = {}
+
+    def choose(
+        self, index: str, now: float, without: frozenset[int] = frozenset()
+    ) -> Plan | None:
+        """Choose the newest snapshot that servers can serve whole.
+
+        Servers set aside count only where no snapshot is whole without
+        them. Where none is whole at all, the widest is chosen.
+
+        :param index: Name of the index.
+        :param now: Present time in seconds.
+        :param without: Snapshots that must not be chosen.
+        :returns: The plan, or none if nothing is held anywhere.
+        """
+        self._refresh(index, now)
+        if without:
+            return self._search(index, now, without)
+        if index not in self._best:
+            self._best[index] = self._search(index, now, without)
+        return self._best[index]
+
+    def plan_hole(
+        self,
+        index: str,
+        snapshot: int,
+        hole: tuple[int, int],
+        now: float,
+        without: set[str],
+    ) -> Plan:
+        """Plan how to read a range that a reply or a failure left open.
+
+        :param index: Name of the index.
+        :param snapshot: The snapshot that the query reads.
+        :param hole: First key, and first key after the hole.
+        :param now: Present time in seconds.
+        :param without: Servers that must not be asked.
+        :returns: The plan, clipped to the hole; perhaps without segments.
+        """
+        self._refresh(index, now)
+        start, end = hole
+        plan = plan_ranges(
+            snapshot,
+            (
+                item
+                for item in self._list_ranges(index, snapshot, now, True)
+                if item.key_range.start < end
+                and item.key_range.end > start
+                and item.server not in without
+            ),
+        )
+        segments = tuple(
+            dataclasses.replace(
+                segment,
+                start=max(segment.start, start),
+                end=min(segment.end, end),
+            )
+            for segment in plan.segments
+            if segment.start < end and segment.end > start
+        )
+        size = sum(segment.end - segment.start for segment in segments)
+        return Plan(snapshot=snapshot, segments=segments, size=size)
+
+    def _refresh(self, index: str, now: float) -> None:
+        table = self._servers.holdings[index]
+        table.expire_denials(now)
+        key = _PlanKey(
+            version=table.version,
+            unable=frozenset(
+                record.name
+                for record in self._servers.servers.values()
+                if record.leaving or record.ejected_until > now
+            ),
+        )
+        if self._keys.get(index) == key:
+            return
+        self._keys[index] = key
+        self._plans[index] = {}
+        self._best.pop(index, None)
+
+    def _search(
+        self, index: str, now: float, without: frozenset[int]
+    ) -> Plan | None:
+        snapshots = [
+            snapshot
+            for snapshot in self._servers.holdings[index].list_snapshots()
+            if snapshot not in without
+        ]
+        widest: Plan | None = None
+        for with_ejected in (False, True):
+            for snapshot in snapshots:
+                plan = self._plan(index, snapshot, now, with_ejected)
+                if plan.is_complete:
+                    return plan
+                if widest is None or plan.size > widest.size:
+                    widest = plan
+        return widest if widest is not None and widest.size else None
+
+    def _plan(
+        self, index: str, snapshot: int, now: float, with_ejected: bool
+    ) -> Plan:
+        plans = self._plans[index]
+        plan = plans.get((snapshot, with_ejected))
+        if plan is None:
+            ranges = self._list_ranges(index, snapshot, now, with_ejected)
+            plan = plan_ranges(snapshot, ranges)
+            plans[(snapshot, with_ejected)] = plan
+        return plan
+
+    def _list_ranges(
+        self, index: str, snapshot: int, now: float, with_ejected: bool
+    ) -> Iterator[HeldRange]:
+        servers = self._servers.servers
+        table = self._servers.holdings[index]
+        for item in table.list_ranges(snapshot, now):
+            record = servers.get(item.server)
+            if record is None or record.leaving:
+                continue
+            if with_ejected or record.ejected_until <= now:
+                yield item
--- a/packages/bluebellbay/bluebellbay/protocol/error.py
+++ b/packages/bluebellbay/bluebellbay/protocol/error.py
@@ -33,6 +33,7 @@
     MISSING_REQUEST_ID = "missing-request-id"
     MISSING_EXPIRY = "missing-expiry"
     EXPIRED = "expired"
+    EXPIRY_TOO_FAR = "expiry-too-far"
     REQUEST_ID_IN_USE = "request-id-in-use"
     AMBIGUOUS_TARGET = "ambiguous-target"
     OVERLOADED = "overloaded"
@@ -116,6 +117,9 @@
         400, "A request that is not repeatable needs an expiry."
     ),
     NotRunKind.EXPIRED: _not_run(410, "The request had expired."),
+    NotRunKind.EXPIRY_TOO_FAR: _not_run(
+        400, "The expiry is further ahead than this VM accepts."
+    ),
     NotRunKind.REQUEST_ID_IN_USE: _not_run(
         409, "Another request with this id is under way here."
     ),
--- a/packages/bluebellbay/bluebellbay/state/coverage.py
+++ b/packages/bluebellbay/bluebellbay/state/coverage.py
@@ -1,5 +1,6 @@
 """Sets of keys as disjoint ranges, and the coverage they amount to."""
 
+import bisect
 from collections.abc import Iterable
 
 from bluebellbay.protocol.answer import Coverage
@@ -62,3 +63,64 @@
         complete=complete,
         missing=() if complete else subtract_ranges(whole, merged),
     )
+
+
+class RangeSet:
+    """A growing set of keys, kept as disjoint ranges in order."""
+
+    __slots__ = ("_ends", "_starts", "size")
+
+    def __init__(self) -> None:
+        self._starts: list[int] = []
+        self._ends: list[int] = []
+        self.size = 0
+
+    def list_holes(self, start: int, end: int) -> list[tuple[int, int]]:
+        """Find the parts of a range that are not in the set.
+
+        :param start: First key of the range.
+        :param end: First key after the range.
+        :returns: The parts, in order, as start and end.
+        """
+        holes = []
+        position = start
+        index = bisect.bisect_right(self._ends, start)
+        while index < len(self._starts) and self._starts[index] < end:
+            if self._starts[index] > position:
+                holes.append((position, self._starts[index]))
+            position = self._ends[index]
+            index += 1
+        if position < end:
+            holes.append((position, end))
+        return holes
+
+    def add(self, start: int, end: int) -> None:
+        """Add a range, which may overlap what is there.
+
+        :param start: First key of the range.
+        :param end: First key after the range.
+        """
+        low = bisect.bisect_left(self._ends, start)
+        high = bisect.bisect_right(self._starts, end)
+        if low < high:
+            start = min(start, self._starts[low])
+            end = max(end, self._ends[high - 1])
+        self.size += end - start
+        for index in range(low, high):
+            self.size -= self._ends[index] - self._starts[index]
+        self._starts[low:high] = (start,)
+        self._ends[low:high] = (end,)
+
+    def measure(self) -> Coverage:
+        """State how much of the key space the set covers.
+
+        :returns: The coverage; 1 only if no key is missing.
+        """
+        return Coverage(
+            fraction=self.size / KEY_SPACE_END,
+            complete=self.size == KEY_SPACE_END,
+            missing=tuple(
+                KeyRange(start=start, end=end)
+                for start, end in self.list_holes(0, KEY_SPACE_END)
+            ),
+        )
--- a/packages/bluebellbay/bluebellbay/state/holding.py
+++ b/packages/bluebellbay/bluebellbay/state/holding.py
@@ -2,8 +2,14 @@
 
 import dataclasses
 
+from bluebellbay.protocol.key_range import KEY_SPACE_END
 from bluebellbay.protocol.key_range import KeyRange
+from bluebellbay.protocol.key_range import WHOLE_SPACE
 from bluebellbay.protocol.leg import Holding
+from bluebellbay.state.coverage import subtract_ranges
+
+FIRST_DENIAL_S = 1.0
+LONGEST_DENIAL_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -20,16 +26,36 @@
     key_range: KeyRange
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Denial:
+    """A server's word, by refusal or short reply, against its own report.
+
+    :param snapshot: The snapshot that was asked for.
+    :param key_range: The range that the server did not have.
+    :param until: Time in seconds until which the report is disbelieved.
+    :param wait_s: Length in seconds of this denial; doubles each time.
+    """
+
+    snapshot: int
+    key_range: KeyRange
+    until: float
+    wait_s: float
+
+
 class HoldingTable:
     """Believed holdings of all servers of one index.
 
     ``version`` grows whenever a belief changes, so that plans made from
-    the table can be kept until then.
+    the table can be kept until then. A server's replies and refusals go
+    before its health endpoint: what they deny stays denied until the
+    report about that snapshot changes, or a wait that doubles has passed.
     """
 
     def __init__(self) -> None:
         self.version = 0
         self._by_server: dict[str, tuple[str, tuple[Holding, ...]]] = {}
+        self._denials: dict[str, tuple[Denial, ...]] = {}
+        self._next_expiry = float("inf")
 
     def set_server(
         self, *, server: str, service: str, holdings: tuple[Holding, ...]
@@ -40,20 +66,122 @@
         :param service: Name of its service.
         :param holdings: Its holdings.
         """
-        value = (service, holdings)
-        if self._by_server.get(server) == value:
+        valid = tuple(item for item in holdings if _is_valid(item))
+        value = (service, valid)
+        former = self._by_server.get(server)
+        if former == value:
             return
         self._by_server[server] = value
         self.version += 1
+        if former is None or server not in self._denials:
+            return
+        self._denials[server] = tuple(
+            denial
+            for denial in self._denials[server]
+            if _list_of(former[1], denial.snapshot)
+            == _list_of(valid, denial.snapshot)
+        )
 
     def remove_server(self, server: str) -> None:
         """Forget a server.
 
         :param server: Name of the server.
         """
+        self._denials.pop(server, None)
         if self._by_server.pop(server, None) is not None:
             self.version += 1
 
+    def deny(
+        self, *, server: str, snapshot: int, key_range: KeyRange, now: float
+    ) -> None:
+        """Take a server's word that it does not hold a range.
+
+        :param server: Name of the server.
+        :param snapshot: The snapshot that was asked for.
+        :param key_range: The range that it did not have.
+        :param now: Present time in seconds.
+        """
+        former = [
+            denial
+            for denial in self._denials.get(server, ())
+            if denial.snapshot == snapshot
+            and denial.key_range.start <= key_range.start
+            and key_range.end <= denial.key_range.end
+        ]
+        if any(denial.until > now for denial in former):
+            return
+        longest = max((denial.wait_s for denial in former), default=0.0)
+        wait_s = min(max(FIRST_DENIAL_S, 2 * longest), LONGEST_DENIAL_S)
+        denial = Denial(
+            snapshot=snapshot,
+            key_range=key_range,
+            until=now + wait_s,
+            wait_s=wait_s,
+        )
+        kept = (
+            item
+            for item in self._denials.get(server, ())
+            if item not in former
+        )
+        self._denials[server] = (*kept, denial)
+        self._next_expiry = min(self._next_expiry, denial.until)
+        self.version += 1
+
+    def deny_snapshot(
+        self, *, server: str, snapshot: int, now: float
+    ) -> None:
+        """Take a server's word that it has none of a snapshot.
+
+        :param server: Name of the server.
+        :param snapshot: The snapshot that was asked for.
+        :param now: Present time in seconds.
+        """
+        self.deny(
+            server=server, snapshot=snapshot, key_range=WHOLE_SPACE, now=now
+        )
+
+    def confirm(
+        self, *, server: str, snapshot: int, key_range: KeyRange
+    ) -> None:
+        """Drop the denials that a reply has disproved.
+
+        :param server: Name of the server.
+        :param snapshot: The snapshot that it read.
+        :param key_range: The range that it read.
+        """
+        former = self._denials.get(server)
+        if not former:
+            return
+        kept = tuple(
+            denial
+            for denial in former
+            if denial.snapshot != snapshot
+            or denial.key_range.end <= key_range.start
+            or key_range.end <= denial.key_range.start
+        )
+        if kept == former:
+            return
+        self._denials[server] = kept
+        self.version += 1
+
+    def expire_denials(self, now: float) -> None:
+        """Believe reports again whose denial has lasted long enough.
+
+        :param now: Present time in seconds.
+        """
+        if now < self._next_expiry:
+            return
+        self.version += 1
+        self._next_expiry = min(
+            (
+                denial.until
+                for denials in self._denials.values()
+                for denial in denials
+                if denial.until > now
+            ),
+            default=float("inf"),
+        )
+
     def list_snapshots(self) -> tuple[int, ...]:
         """List the snapshots held anywhere, newest first."""
         found = {
@@ -63,19 +191,43 @@
         }
         return tuple(sorted(found, reverse=True))
 
-    def list_ranges(self, snapshot: int) -> tuple[HeldRange, ...]:
+    def list_ranges(
+        self, snapshot: int, now: float = 0.0
+    ) -> tuple[HeldRange, ...]:
         """List who holds which range of a snapshot.
 
         :param snapshot: Number of the snapshot.
+        :param now: Present time in seconds, for denials.
         :returns: The ranges, in no set order.
         """
         return tuple(
-            HeldRange(
-                server=server,
-                service=service,
-                key_range=KeyRange(start=holding.start, end=holding.end),
-            )
+            HeldRange(server=server, service=service, key_range=key_range)
             for server, (service, holdings) in self._by_server.items()
             for holding in holdings
             if holding.snapshot == snapshot
+            for key_range in self._list_believed(server, holding, now)
         )
+
+    def _list_believed(
+        self, server: str, holding: Holding, now: float
+    ) -> tuple[KeyRange, ...]:
+        whole = KeyRange(start=holding.start, end=holding.end)
+        denials = self._denials.get(server)
+        if not denials:
+            return (whole,)
+        denied = tuple(
+            denial.key_range
+            for denial in denials
+            if denial.snapshot == holding.snapshot and denial.until > now
+        )
+        return subtract_ranges(whole, denied)
+
+
+def _list_of(
+    holdings: tuple[Holding, ...], snapshot: int
+) -> tuple[Holding, ...]:
+    return tuple(item for item in holdings if item.snapshot == snapshot)
+
+
+def _is_valid(holding: Holding) -> bool:
+    return 0 <= holding.start < holding.end <= KEY_SPACE_END
--- a/packages/bluebellbay/bluebellbay/state/node.py
+++ b/packages/bluebellbay/bluebellbay/state/node.py
@@ -4,6 +4,7 @@
 
 from bluebellbay.settings import Settings
 from bluebellbay.state.configuration import ConfigurationState
+from bluebellbay.state.counter import QueryCounters
 from bluebellbay.state.fleet import FleetView
 from bluebellbay.state.server import ServerTable
 
@@ -21,3 +22,4 @@
         self.configuration = ConfigurationState()
         self.fleet = FleetView(node=settings.node, peers=settings.peers)
         self.servers = ServerTable(indexes=settings.indexes)
+        self.query_counters = QueryCounters()
