Add thin server and shutdown parts

Cause: the core needs its table of servers filled from the platform's list and the health endpoints, and a way to end, before the path can run. Conclusion: types and the checks pass; behaviour is shown once the daemon drives the parts.

--- a/packages/bluebellbay/bluebellbay/coordination/core.py
+++ b/packages/bluebellbay/bluebellbay/coordination/core.py
@@ -4,6 +4,8 @@
 import random
 
 from bluebellbay.coordination.part import Part
+from bluebellbay.coordination.server import ServerPart
+from bluebellbay.coordination.shutdown import ShutdownPart
 from bluebellbay.protocol.command import Command
 from bluebellbay.protocol.event import Event
 from bluebellbay.protocol.event import INTERNAL_EVENTS
@@ -69,4 +71,4 @@
 
 def list_parts() -> tuple[type[Part], ...]:
     """List the parts of a whole node, in the order they are told events."""
-    return ()
+    return (ServerPart, ShutdownPart)
