--- /dev/null
+++ b/features/layers.feature
@@ -0,0 +1,15 @@
+Feature: The layers keep apart
+
+  Scenario Outline: The <layer> layer imports only what it may
+    Then the modules of <layer> import nothing outside <allowed>
+
+    Examples:
+      | layer        | allowed                                       |
+      | protocol     | bluebellbay.protocol                          |
+      | state        | bluebellbay.protocol bluebellbay.state bluebellbay.settings |
+      | coordination | bluebellbay.protocol bluebellbay.state bluebellbay.settings bluebellbay.coordination |
+      | transport    | bluebellbay.protocol bluebellbay.settings bluebellbay.transport |
+
+  Scenario: The decision core knows no socket, clock or global randomness
+    Then no module of state or coordination imports a clock or a network
+    And no module of state or coordination calls the global random source
--- /dev/null
+++ b/features/steps/layers_steps.py
@@ -0,0 +1,80 @@
+"""Steps about what the layers import."""
+
+import ast
+import pathlib
+
+import behave
+
+import bluebellbay
+
+PACKAGE = pathlib.Path(bluebellbay.__file__).parent
+BANNED = {
+    "asyncio",
+    "datetime",
+    "klein",
+    "pynng",
+    "requests",
+    "secrets",
+    "select",
+    "socket",
+    "threading",
+    "time",
+    "treq",
+    "twisted",
+    "uuid",
+}
+
+
+def list_modules(*layers):
+    for layer in layers:
+        yield from sorted((PACKAGE / layer).rglob("*.py"))
+
+
+def list_imports(path):
+    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            yield node.module
+
+
+@behave.then("the modules of {layer} import nothing outside {allowed}")
+def check_layer(context, layer, allowed):
+    del context
+    prefixes = tuple(allowed.split())
+    wrong = [
+        f"{path.name} imports {name}"
+        for path in list_modules(layer)
+        for name in list_imports(path)
+        if name.startswith("bluebell") and not name.startswith(prefixes)
+    ]
+    assert not wrong, wrong
+
+
+@behave.then("no module of state or coordination imports a clock or a network")
+def check_banned(context):
+    del context
+    wrong = [
+        f"{path.name} imports {name}"
+        for path in list_modules("state", "coordination")
+        for name in list_imports(path)
+        if name.split(".")[0] in BANNED
+    ]
+    assert not wrong, wrong
+
+
+@behave.then(
+    "no module of state or coordination calls the global random source"
+)
+def check_random(context):
+    del context
+    wrong = []
+    for path in list_modules("state", "coordination"):
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+            if not isinstance(node, ast.Attribute):
+                continue
+            if not isinstance(node.value, ast.Name):
+                continue
+            if node.value.id == "random" and node.attr != "Random":
+                wrong.append(f"{path.name} uses random.{node.attr}")
+    assert not wrong, wrong
