--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -21,10 +21,8 @@
 def set_key(data, key, value):
     *path, last = key.split(".")
     for part in path:
-        if part.isdigit():
-            data = data[int(part)]
-        else:
-            data = data.setdefault(part, {})
+        place = int(part) if part.isdigit() else part
+        data = data[place]
     data[last] = value
 
 
@@ -50,12 +48,13 @@
 @behave.given("the settings file {name} with {key} set to {value}")
 def change_key(context, name, key, value):
     context.data = read_yaml(name)
+    context.data.setdefault(key.split(".")[0], {})
     set_key(context.data, key, yaml.safe_load(value))
 
 
 @behave.given("the settings file {name} with two faults")
 def change_two(context, name):
-    context.data = read_yaml(name)
+    context.data = {**read_yaml(name), "limits": {}}
     set_key(context.data, "node.listen", "nowhere")
     set_key(context.data, "limits.queries", 0)
 
