--- a/packages/bluebellbay/bluebellbay/coordination/admission.py
+++ b/packages/bluebellbay/bluebellbay/coordination/admission.py
@@ -2,7 +2,6 @@
 
 from bluebellbay.protocol.error import NotRunKind
 from bluebellbay.protocol.request import QueryRequest
-from bluebellbay.settings import LimitSettings
 from bluebellbay.state.node import NodeState
 
 
@@ -16,8 +15,7 @@
     :param now: Present time in seconds.
     :returns: The kind of error, or none if the request is in order.
     """
-    index = state.servers.indexes.get(request.index)
-    if index is None:
+    if request.index not in state.servers.indexes:
         return NotRunKind.UNKNOWN_INDEX
     if state.configuration.document is None:
         return NotRunKind.NO_CONFIGURATION
@@ -27,18 +25,18 @@
         return NotRunKind.EXPIRED
     if request.repeatable:
         return None
-    if index.services > 1 and request.key is None:
-        return NotRunKind.AMBIGUOUS_TARGET
-    return _check_once(request, state.settings.limits, now)
+    return _check_once(request, state, now)
 
 
 def _check_once(
-    request: QueryRequest, limits: LimitSettings, now: float
+    request: QueryRequest, state: NodeState, now: float
 ) -> NotRunKind | None:
     if not request.request_id:
         return NotRunKind.MISSING_REQUEST_ID
     if request.expires_at is None:
         return NotRunKind.MISSING_EXPIRY
-    if request.expires_at - now > limits.expiry_s:
+    if request.expires_at - now > state.settings.limits.expiry_s:
         return NotRunKind.EXPIRY_TOO_FAR
+    if state.servers.indexes[request.index].services > 1:
+        return None if request.key is not None else NotRunKind.AMBIGUOUS_TARGET
     return None
--- a/packages/bluebellbay/bluebellbay/coordination/core.py
+++ b/packages/bluebellbay/bluebellbay/coordination/core.py
@@ -4,6 +4,7 @@
 import random
 
 from bluebellbay.coordination.part import Part
+from bluebellbay.coordination.query import QueryPart
 from bluebellbay.coordination.server import ServerPart
 from bluebellbay.coordination.shutdown import ShutdownPart
 from bluebellbay.protocol.command import Command
@@ -71,4 +72,4 @@
 
 def list_parts() -> tuple[type[Part], ...]:
     """List the parts of a whole node, in the order they are told events."""
-    return (ServerPart, ShutdownPart)
+    return (ServerPart, QueryPart, ShutdownPart)
--- a/packages/bluebellbay/bluebellbay/coordination/query.py
+++ b/packages/bluebellbay/bluebellbay/coordination/query.py
@@ -151,9 +151,7 @@
         )
         count_answer(self.state, answer)
         self._log_refusal(event, kind.value)
-        self._dispatcher.emit(
-            AnswerCaller(caller=event.caller, answer=answer)
-        )
+        self._dispatcher.emit(AnswerCaller(caller=event.caller, answer=answer))
 
     def _refuse_rival(
         self, event: QueryArrived, rival: Run, now: float
@@ -173,9 +171,7 @@
         )
         count_answer(self.state, answer)
         self._log_refusal(event, kind.value)
-        self._dispatcher.emit(
-            AnswerCaller(caller=event.caller, answer=answer)
-        )
+        self._dispatcher.emit(AnswerCaller(caller=event.caller, answer=answer))
 
     def _log_refusal(self, event: QueryArrived, kind: str) -> None:
         if not self.state.settings.log.decisions:
--- a/packages/bluebellbay/bluebellbay/state/holding.py
+++ b/packages/bluebellbay/bluebellbay/state/holding.py
@@ -127,9 +127,7 @@
         self._next_expiry = min(self._next_expiry, denial.until)
         self.version += 1
 
-    def deny_snapshot(
-        self, *, server: str, snapshot: int, now: float
-    ) -> None:
+    def deny_snapshot(self, *, server: str, snapshot: int, now: float) -> None:
         """Take a server's word that it has none of a snapshot.
 
         :param server: Name of the server.
