Hedge, retry, eject and choose replicas within the extra load

Cause: a leg to a slow or silent server held its query until the delay. Ruled out: a limit learned from the slow server itself (it raises its own limit); a bucket filled with time (it lets a burst borrow).

--- a/packages/bluebellbay/bluebellbay/coordination/dispatch.py
+++ b/packages/bluebellbay/bluebellbay/coordination/dispatch.py
@@ -2,11 +2,16 @@
 
 from collections.abc import Iterable
 
+from bluebellbay.coordination.budget import BudgetTable
+from bluebellbay.coordination.ejection import EjectionPolicy
+from bluebellbay.coordination.hedge import HedgePolicy
+from bluebellbay.coordination.hedge import SILENCE_FACTOR
 from bluebellbay.coordination.leg import Leg
 from bluebellbay.coordination.leg import Run
 from bluebellbay.coordination.leg import Task
 from bluebellbay.coordination.part import Step
 from bluebellbay.coordination.placement import ReplicaChooser
+from bluebellbay.coordination.poll import PollTracker
 from bluebellbay.coordination.snapshot import SnapshotPlanner
 from bluebellbay.coordination.timer import TimerQueue
 from bluebellbay.protocol.answer import Answer
@@ -16,12 +21,14 @@
 from bluebellbay.protocol.command import CancelLeg
 from bluebellbay.protocol.command import Field
 from bluebellbay.protocol.command import LogDecision
+from bluebellbay.protocol.command import PollServer
 from bluebellbay.protocol.command import SendLeg
 from bluebellbay.protocol.error import FailedKind
 from bluebellbay.protocol.error import NotRunKind
 from bluebellbay.protocol.error import UnknownKind
 from bluebellbay.protocol.leg import LegRequest
 from bluebellbay.protocol.proof import NothingRan
+from bluebellbay.state.latency import LatencyTable
 from bluebellbay.state.node import NodeState
 from bluebellbay.state.server import ServerRecord
 
@@ -39,10 +46,18 @@
         self.state = state
         self.counters = state.query_counters
         self.planner = SnapshotPlanner(servers=state.servers)
-        self.chooser = ReplicaChooser(state=state)
+        self.latencies = LatencyTable()
+        self.chooser = ReplicaChooser(state=state, latencies=self.latencies)
+        self.hedges = HedgePolicy(
+            settings=state.settings.policy, latencies=self.latencies
+        )
+        self.ejection = EjectionPolicy(state=state)
+        self.budgets = BudgetTable()
+        self.polls = PollTracker()
         self.timers = TimerQueue()
         self.legs: dict[str, Leg] = {}
         self.finished: list[Run] = []
+        self.waiting: dict[Run, None] = {}
         self._steps: list[Step] = []
         self._attempts = 0
         self._prefix = (
@@ -117,6 +132,7 @@
         self.legs[attempt] = leg
         task.legs.append(leg)
         task.tried.add(record.name)
+        task.may_have_run += 1
         run.ledger.record_sent()
         record.outstanding += 1
         request = run.request
@@ -150,25 +166,69 @@
         )
         return leg
 
-    def end(self, leg: Leg) -> None:
+    def end(self, leg: Leg) -> bool:
         """Note that the transport has reported the end of a leg.
 
         :param leg: The leg.
+        :returns: Whether it was still wanted.
         """
         del self.legs[leg.attempt]
-        if leg in leg.task.legs:
-            leg.task.legs.remove(leg)
         leg.record.outstanding -= 1
+        if not leg.wanted:
+            return False
+        leg.wanted = False
+        leg.task.legs.remove(leg)
+        return True
+
+    def note_not_run(self, leg: Leg) -> None:
+        """Note that a leg positively did not run.
+
+        :param leg: The leg.
+        """
+        leg.task.may_have_run -= 1
+        leg.run.ledger.record_not_run()
+
+    def note_reply(self, leg: Leg, now: float) -> None:
+        """Learn from a leg that was answered.
 
-    def cancel(self, leg: Leg) -> None:
+        :param leg: The leg.
+        :param now: Present time in seconds.
+        """
+        self.latencies.get(leg.server).add(now - leg.sent_at, now)
+        self.ejection.note_success(leg.record)
+
+    def note_failure(self, leg: Leg, now: float) -> None:
+        """Learn from a leg that failed or was silent for too long.
+
+        :param leg: The leg.
+        :param now: Present time in seconds.
+        """
+        if not self.ejection.note_failure(leg.record, now):
+            return
+        self.latencies.get(leg.server).forget_estimate()
+        self.log(
+            leg.run,
+            "Set a server aside.",
+            Field(name="server", value=leg.server),
+            Field(name="until", value=leg.record.ejected_until),
+        )
+
+    def cancel(self, leg: Leg, now: float) -> None:
         """Tell a server that a leg is no longer wanted.
 
         The leg still counts against the server until the transport has
-        reported its end.
+        reported its end. Its latency so far is learned, as it would else
+        be the slow legs that are never seen.
 
         :param leg: The leg.
+        :param now: Present time in seconds.
         """
         leg.wanted = False
+        waited_s = now - leg.sent_at
+        if leg.usual_s and waited_s >= leg.usual_s:
+            self.latencies.get(leg.server).add(waited_s, now)
+            if waited_s > SILENCE_FACTOR * leg.usual_s:
+                self.note_failure(leg, now)
         self.counters.cancelled += 1
         self._steps.append(
             CancelLeg(
@@ -178,16 +238,38 @@
             )
         )
 
-    def cancel_all(self, tasks: Iterable[Task]) -> None:
+    def cancel_all(self, tasks: Iterable[Task], now: float) -> None:
         """Cancel every leg that is under way for some tasks.
 
         :param tasks: The tasks.
+        :param now: Present time in seconds.
         """
         for task in tasks:
+            task.closed = True
             for leg in task.legs:
-                self.cancel(leg)
+                self.cancel(leg, now)
             task.legs = []
 
+    def poll(self, names: Iterable[str], now: float) -> set[str]:
+        """Read the health of servers whose report may be out of date.
+
+        :param names: Names of the servers.
+        :param now: Present time in seconds.
+        :returns: Names of those whose answer is under way now.
+        """
+        under_way = set()
+        for name in names:
+            record = self.state.servers.servers.get(name)
+            if record is None or record.leaving:
+                continue
+            if self.polls.begin(name, now):
+                self._steps.append(
+                    PollServer(server=name, address=record.address)
+                )
+            if self.polls.is_under_way(name, now):
+                under_way.add(name)
+        return under_way
+
     def build_not_run(
         self, run: Run, kind: NotRunKind, proof: NothingRan, now: float
     ) -> Answer:
--- a/packages/bluebellbay/bluebellbay/coordination/leg.py
+++ b/packages/bluebellbay/bluebellbay/coordination/leg.py
@@ -82,6 +82,27 @@
         :param now: Present time in seconds.
         """
 
+    def hedge(self, leg: "Leg", now: float) -> None:
+        """Ask another replica too, as a leg has taken long.
+
+        :param leg: The leg.
+        :param now: Present time in seconds.
+        """
+
+    def resume(self, task: "Task", now: float) -> None:
+        """Try again to get a range, after a pause.
+
+        :param task: The range.
+        :param now: Present time in seconds.
+        """
+
+    def review(self, server: str, now: float) -> None:
+        """Act on a server's health having been read.
+
+        :param server: Name of the server.
+        :param now: Present time in seconds.
+        """
+
     @abc.abstractmethod
     def abandon(self, now: float) -> None:
         """Act on the caller having gone away.
@@ -90,27 +111,56 @@
         """
 
 
-class Task:
+class Task(Timed):
     """A range of the key space that a run still wants.
 
+    :param run: The run that wants it.
     :param start: First key of the range.
     :param end: First key after the range.
     :param servers: Names of the candidate servers.
     """
 
-    __slots__ = ("end", "legs", "servers", "start", "tried")
+    __slots__ = (
+        "closed",
+        "end",
+        "legs",
+        "may_have_run",
+        "pauses",
+        "run",
+        "servers",
+        "spared",
+        "start",
+        "tried",
+    )
 
     def __init__(
-        self, *, start: int, end: int, servers: tuple[str, ...]
+        self, *, run: Run, start: int, end: int, servers: tuple[str, ...]
     ) -> None:
+        self.run = run
         self.start = start
         self.end = end
         self.servers = servers
         self.tried: set[str] = set()
+        self.spared: set[str] = set()
         self.legs: list[Leg] = []
+        self.may_have_run = 0
+        self.pauses = 0
+        self.closed = False
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the range is no longer wanted."""
+        return self.closed
+
+    def wake(self, now: float) -> None:
+        """Go on after a pause.
+
+        :param now: Present time in seconds.
+        """
+        self.run.resume(self, now)
 
 
-class Leg:
+class Leg(Timed):
     """One leg in flight.
 
     :param attempt: Its attempt id.
@@ -128,6 +178,7 @@
         "sent_at",
         "snapshot",
         "task",
+        "usual_s",
         "wanted",
     )
 
@@ -147,9 +198,22 @@
         self.record = record
         self.snapshot = snapshot
         self.sent_at = sent_at
+        self.usual_s = 0.0
         self.wanted = True
 
     @property
     def server(self) -> str:
         """Name of the server."""
         return self.record.name
+
+    @property
+    def is_over(self) -> bool:
+        """Whether nobody waits for it any more."""
+        return not self.wanted
+
+    def wake(self, now: float) -> None:
+        """Act on the leg having taken long.
+
+        :param now: Present time in seconds.
+        """
+        self.run.hedge(self, now)
--- a/packages/bluebellbay/bluebellbay/coordination/placement.py
+++ b/packages/bluebellbay/bluebellbay/coordination/placement.py
@@ -3,18 +3,27 @@
 from collections.abc import Container
 from collections.abc import Iterable
 
+from bluebellbay.state.latency import LatencyTable
 from bluebellbay.state.node import NodeState
 from bluebellbay.state.server import ServerRecord
 
+HINT_WEIGHT = 0.2
+LEAST_START_SHARE = 0.05
+UNKNOWN_LATENCY_S = 0.001
+
 
 class ReplicaChooser:
     """Chooses among the servers that may read a range.
 
     :param state: What the node knows.
+    :param latencies: Latencies of all servers.
     """
 
-    def __init__(self, *, state: NodeState) -> None:
+    def __init__(self, *, state: NodeState, latencies: LatencyTable) -> None:
         self._state = state
+        self._latencies = latencies
+        self._by_load = state.settings.policy.choose_by_load
+        self._slow_start_s = state.settings.policy.slow_start_s
 
     def choose(
         self, names: Iterable[str], tried: Container[str], now: float
@@ -45,14 +54,36 @@
             return None
         if len(choices) == 1:
             return choices[0]
-        return self._choose_of(choices)
+        return self._choose_of(choices, now)
 
-    def _choose_of(self, choices: list[ServerRecord]) -> ServerRecord:
+    def _choose_of(
+        self, choices: list[ServerRecord], now: float
+    ) -> ServerRecord:
         rng = self._state.rng
-        first = choices[int(rng.random() * len(choices))]
-        if not self._state.settings.policy.choose_by_load:
+        count = len(choices)
+        place = int(rng.random() * count)
+        first = choices[place]
+        if not self._by_load:
+            return first
+        second = choices[(place + 1 + int(rng.random() * (count - 1))) % count]
+        if not self._has_started(first, now):
+            return second
+        if not self._has_started(second, now):
             return first
-        second = choices[int(rng.random() * len(choices))]
-        if second.outstanding < first.outstanding:
+        if self._rate(second, now) < self._rate(first, now):
             return second
         return first
+
+    def _has_started(self, record: ServerRecord, now: float) -> bool:
+        started_at = max(record.added_at, record.ejected_until)
+        age_s = now - started_at
+        if age_s >= self._slow_start_s:
+            return True
+        share = max(LEAST_START_SHARE, age_s / self._slow_start_s)
+        return self._state.rng.random() < share
+
+    def _rate(self, record: ServerRecord, now: float) -> float:
+        latency_s = self._latencies.get(record.name).estimate(now)
+        waiting = 1 + record.outstanding / record.slots
+        hint = 1 + HINT_WEIGHT * min(1.0, max(0.0, record.hinted_load))
+        return max(latency_s, UNKNOWN_LATENCY_S) * waiting * hint
--- a/packages/bluebellbay/bluebellbay/coordination/posting.py
+++ b/packages/bluebellbay/bluebellbay/coordination/posting.py
@@ -282,10 +282,14 @@
         self._snapshot = plan.snapshot
         key = self.request.key
         if key is None:
-            return Task(start=0, end=KEY_SPACE_END, servers=_list_all(plan))
+            return Task(
+                run=self, start=0, end=KEY_SPACE_END, servers=_list_all(plan)
+            )
         for segment in plan.segments:
             if segment.start <= key < segment.end:
-                return Task(start=key, end=key + 1, servers=segment.servers)
+                return Task(
+                    run=self, start=key, end=key + 1, servers=segment.servers
+                )
         return None
 
 
--- a/packages/bluebellbay/bluebellbay/coordination/query.py
+++ b/packages/bluebellbay/bluebellbay/coordination/query.py
@@ -30,6 +30,7 @@
 from bluebellbay.protocol.event import LegReplied
 from bluebellbay.protocol.event import QueriesDrained
 from bluebellbay.protocol.event import QueryArrived
+from bluebellbay.protocol.event import ServerPolled
 from bluebellbay.protocol.event import TimePassed
 from bluebellbay.protocol.key_range import KeyRange
 from bluebellbay.protocol.leg import RefusalReason
@@ -63,6 +64,7 @@
             ClaimGranted,
             ClaimRefused,
             ClaimHeld,
+            ServerPolled,
             AdmissionClosed,
             TimePassed,
         )
@@ -94,6 +96,8 @@
                 self._take_gone(event, now)
             case ClaimGranted() | ClaimRefused() | ClaimHeld():
                 self._take_claim(event, now)
+            case ServerPolled():
+                self._take_report(event, now)
             case AdmissionClosed():
                 self._close_admission()
         for timed in self._dispatcher.timers.pop_due(now):
@@ -193,51 +197,61 @@
         leg = self._find_leg(event.server, event.attempt)
         if leg is None:
             return
-        self._dispatcher.end(leg)
+        dispatcher = self._dispatcher
+        wanted = dispatcher.end(leg)
         reply = event.reply
-        self._note_hints(event.server, reply.load, reply.leaving)
-        if not leg.wanted:
-            self._dispatcher.counters.dropped += 1
-            return
         if reply.attempt != leg.attempt or not fits_leg(
             reply,
             snapshot=leg.snapshot,
             start=leg.task.start,
             end=leg.task.end,
         ):
-            self._dispatcher.counters.dropped += 1
-            leg.run.take_failure(leg, sent=True, expired=False, now=now)
+            dispatcher.counters.dropped += 1
+            if wanted:
+                dispatcher.note_failure(leg, now)
+                leg.run.take_failure(leg, sent=True, expired=False, now=now)
+            return
+        self._note_hints(leg, reply.load, reply.leaving)
+        if not wanted:
+            dispatcher.counters.dropped += 1
             return
+        dispatcher.note_reply(leg, now)
         leg.run.take_reply(leg, reply, now)
 
     def _take_refusal(self, event: LegRefused, now: float) -> None:
         leg = self._find_leg(event.server, event.attempt)
         if leg is None:
             return
-        self._dispatcher.end(leg)
+        dispatcher = self._dispatcher
+        wanted = dispatcher.end(leg)
         refusal = event.refusal
-        self._note_hints(event.server, refusal.load, refusal.leaving)
         if refusal.attempt != leg.attempt:
-            self._dispatcher.counters.dropped += 1
-            if leg.wanted:
+            dispatcher.counters.dropped += 1
+            if wanted:
+                dispatcher.note_failure(leg, now)
                 leg.run.take_failure(leg, sent=True, expired=False, now=now)
             return
-        leg.run.ledger.record_not_run()
+        dispatcher.note_not_run(leg)
+        self._note_hints(leg, refusal.load, refusal.leaving)
         self._note_refusal(leg, refusal.reason, now)
-        if leg.wanted:
+        if wanted:
             leg.run.take_refusal(leg, refusal, now)
 
     def _take_failure(self, event: LegFailed, now: float) -> None:
         leg = self._find_leg(event.server, event.attempt)
         if leg is None:
             return
-        self._dispatcher.end(leg)
+        dispatcher = self._dispatcher
+        wanted = dispatcher.end(leg)
         if not event.sent:
-            leg.run.ledger.record_not_run()
-        if leg.wanted:
-            leg.run.take_failure(
-                leg, sent=event.sent, expired=event.expired, now=now
-            )
+            dispatcher.note_not_run(leg)
+        if not wanted:
+            return
+        if not event.expired:
+            dispatcher.note_failure(leg, now)
+        leg.run.take_failure(
+            leg, sent=event.sent, expired=event.expired, now=now
+        )
 
     def _find_leg(self, server: str, attempt: str) -> Leg | None:
         leg = self._dispatcher.legs.get(attempt)
@@ -246,13 +260,10 @@
             return None
         return leg
 
-    def _note_hints(self, server: str, load: float, leaving: bool) -> None:
-        record = self.state.servers.servers.get(server)
-        if record is None:
-            return
-        record.hinted_load = load
+    def _note_hints(self, leg: Leg, load: float, leaving: bool) -> None:
+        leg.record.hinted_load = load
         if leaving:
-            record.leaving = True
+            leg.record.leaving = True
 
     def _note_refusal(
         self, leg: Leg, reason: RefusalReason, now: float
@@ -272,9 +283,13 @@
                     server=leg.server, snapshot=leg.snapshot, now=now
                 )
             case RefusalReason.LEAVING:
-                record = self.state.servers.servers.get(leg.server)
-                if record is not None:
-                    record.leaving = True
+                leg.record.leaving = True
+
+    def _take_report(self, event: ServerPolled, now: float) -> None:
+        dispatcher = self._dispatcher
+        dispatcher.polls.end(event.server)
+        for run in tuple(dispatcher.waiting):
+            run.review(event.server, now)
 
     def _take_claim(
         self, event: ClaimGranted | ClaimRefused | ClaimHeld, now: float
@@ -303,6 +318,7 @@
             return
         for run in finished:
             del self._by_caller[run.caller]
+            self._dispatcher.waiting.pop(run, None)
             if run.request.request_id:
                 del self._by_request_id[run.request.request_id]
         finished.clear()
--- a/packages/bluebellbay/bluebellbay/coordination/search.py
+++ b/packages/bluebellbay/bluebellbay/coordination/search.py
@@ -1,6 +1,7 @@
 """A repeatable request: many legs, one snapshot, one answer."""
 
 from bluebellbay.coordination.dispatch import Dispatcher
+from bluebellbay.coordination.hedge import SILENCE_FACTOR
 from bluebellbay.coordination.leg import Leg
 from bluebellbay.coordination.leg import Run
 from bluebellbay.coordination.leg import Task
@@ -17,6 +18,12 @@
 from bluebellbay.protocol.leg import RefusalReason
 from bluebellbay.protocol.profile import Profile
 from bluebellbay.protocol.request import QueryRequest
+from bluebellbay.state.server import ServerRecord
+
+FIRST_PAUSE_S = 0.005
+LONGEST_PAUSE_S = 0.1
+LONGEST_TRIES = 3
+LEAST_CHANCE = 0.5
 
 _HELD_NO_LONGER = (RefusalReason.NOT_HELD, RefusalReason.SNAPSHOT_GONE)
 
@@ -44,12 +51,16 @@
             caller=caller, request=request, profile=profile, now=now
         )
         self._dispatcher = dispatcher
+        self._budget = dispatcher.budgets.get(profile.name)
         self._merger: Merger | None = None
-        self._plan: Plan | None = None
         self._open: dict[Task, None] = {}
+        self._lost: dict[Task, None] = {}
+        self._awaited: set[str] = set()
         self._given_up: set[int] = set()
         self._lost_snapshot = False
         self._refused = False
+        self._too_late = False
+        self._replies = 0
 
     def start(self, now: float) -> None:
         """Choose the snapshot and send the first legs.
@@ -61,6 +72,8 @@
         if self.deadline <= now or plan is None:
             self._finish(now)
             return
+        self._budget.add_first(len(plan.segments), now)
+        self._dispatcher.counters.first_legs += len(plan.segments)
         self._begin(plan, now)
 
     def wake(self, now: float) -> None:
@@ -78,25 +91,23 @@
         :param reply: A reply that fits it.
         :param now: Present time in seconds.
         """
-        assert self._merger is not None  # noqa: S101
-        self._merger.add(reply)
+        merger = self._merger
+        if merger is None:
+            return
+        merger.add(reply)
         task = leg.task
-        if reply.start > task.start or reply.end < task.end:
-            self._lost_snapshot = True
-            self._deny_rest(leg, reply, now)
-        holes = self._merger.list_holes(task.start, task.end)
-        if not holes:
-            self._close(task)
+        self._replies += 1
+        if reply.start == task.start and reply.end == task.end:
+            self._close(task, now)
             self._finish_if_done(now)
             return
-        if task.legs:
-            return
-        self._close(task)
-        self._fill(holes, task.tried, now)
-        self._finish_if_done(now)
+        self._lost_snapshot = True
+        self._deny_rest(leg, reply, now)
+        task.may_have_run -= 1
+        self._go_on(task, now)
 
     def take_refusal(self, leg: Leg, refusal: LegRefusal, now: float) -> None:
-        """Correct what is believed of the server, and ask another.
+        """Ask another server, as this one ran nothing.
 
         :param leg: The leg.
         :param refusal: The refusal.
@@ -105,7 +116,10 @@
         self._refused = True
         if refusal.reason in _HELD_NO_LONGER:
             self._lost_snapshot = True
-        self._retry(leg.task, now)
+            self._dispatcher.poll((leg.server,), now)
+        elif refusal.reason is not RefusalReason.LEAVING:
+            leg.task.spared.add(leg.server)
+        self._go_on(leg.task, now)
 
     def take_failure(
         self, leg: Leg, *, sent: bool, expired: bool, now: float
@@ -117,7 +131,54 @@
         :param expired: Whether the transport held it back as expired.
         :param now: Present time in seconds.
         """
-        self._retry(leg.task, now)
+        leg.task.spared.add(leg.server)
+        self._go_on(leg.task, now)
+
+    def hedge(self, leg: Leg, now: float) -> None:
+        """Ask another replica too, as a leg has taken long.
+
+        :param leg: The leg.
+        :param now: Present time in seconds.
+        """
+        task = leg.task
+        if task.legs[-1] is not leg:
+            return
+        record = self._choose(task, now)
+        if record is None:
+            return
+        waited_s = now - leg.sent_at
+        urgent = waited_s >= SILENCE_FACTOR * leg.usual_s
+        if not self._budget.take(self.profile.extra_load, now, urgent=urgent):
+            self._dispatcher.timers.add(now + waited_s, leg)
+            return
+        self._dispatcher.counters.hedges += 1
+        self._send(task, record, "Hedged a leg.", now)
+
+    def resume(self, task: Task, now: float) -> None:
+        """Try again to get a range, after a pause.
+
+        :param task: The range.
+        :param now: Present time in seconds.
+        """
+        if task.legs:
+            return
+        task.tried -= task.spared
+        task.spared = set()
+        self._place(task, now)
+        self._finish_if_done(now)
+
+    def review(self, server: str, now: float) -> None:
+        """Try again to get what is lost, as a server was heard of.
+
+        :param server: Name of the server.
+        :param now: Present time in seconds.
+        """
+        self._awaited.discard(server)
+        for task in tuple(self._lost):
+            if task in self._lost:
+                del self._lost[task]
+                self._place(task, now)
+        self._finish_if_done(now)
 
     def abandon(self, now: float) -> None:
         """Stop, as nobody waits for the answer.
@@ -125,11 +186,10 @@
         :param now: Present time in seconds.
         """
         self._dispatcher.log(self, "Stopped, as the caller has gone.")
-        self._stop()
+        self._stop(now)
         self._dispatcher.finish(self)
 
     def _begin(self, plan: Plan, now: float) -> None:
-        self._plan = plan
         self._merger = Merger(snapshot=plan.snapshot)
         self._dispatcher.log(
             self,
@@ -137,77 +197,154 @@
             Field(name="snapshot", value=plan.snapshot),
             Field(name="segments", value=len(plan.segments)),
         )
-        for segment in plan.segments:
-            task = Task(
-                start=segment.start, end=segment.end, servers=segment.servers
+        tasks = [
+            Task(
+                run=self,
+                start=segment.start,
+                end=segment.end,
+                servers=segment.servers,
+            )
+            for segment in plan.segments
+        ]
+        if not plan.is_complete:
+            tasks.extend(
+                Task(run=self, start=start, end=end, servers=())
+                for start, end in plan.list_holes()
             )
-            self._open[task] = None
-            if self._send(task, "Placed a leg.", now):
-                self._dispatcher.counters.first_legs += 1
-        for task in [task for task in self._open if not task.legs]:
-            self._retry(task, now)
+            self._lost_snapshot = True
+        self._open.update(dict.fromkeys(tasks))
+        for task in tasks:
+            if task in self._open:
+                self._place(task, now)
+        self._finish_if_done(now)
 
-    def _send(self, task: Task, sentence: str, now: float) -> bool:
-        assert self._merger is not None  # noqa: S101
-        remaining = self.deadline - now
-        if remaining <= 0:
-            return False
+    def _place(self, task: Task, now: float) -> None:
+        record = self._choose(task, now)
+        if record is None:
+            self._replan(task, now)
+            return
+        if task.may_have_run:
+            share = self.profile.extra_load
+            if not self._budget.take(share, now, urgent=True):
+                self._pause(task, now)
+                return
+            self._dispatcher.counters.retries += 1
+            self._send(task, record, "Placed a leg again.", now)
+            return
+        if task.tried or task.pauses:
+            self._dispatcher.counters.replacements += 1
+        self._send(task, record, "Placed a leg.", now)
+
+    def _choose(self, task: Task, now: float) -> ServerRecord | None:
         dispatcher = self._dispatcher
         record = dispatcher.chooser.choose(task.servers, task.tried, now)
         if record is None:
-            return False
-        dispatcher.send(
+            return None
+        estimate_s = dispatcher.latencies.get(record.name).estimate(now)
+        if self.deadline - now < LEAST_CHANCE * estimate_s:
+            self._too_late = True
+            return None
+        return record
+
+    def _send(
+        self, task: Task, record: ServerRecord, sentence: str, now: float
+    ) -> None:
+        assert self._merger is not None  # noqa: S101
+        dispatcher = self._dispatcher
+        leg = dispatcher.send(
             self,
             task,
             record,
             snapshot=self._merger.snapshot,
             sentence=sentence,
-            timeout_s=remaining,
+            timeout_s=self.deadline - now,
             now=now,
         )
-        return True
+        leg.usual_s = dispatcher.hedges.find_wait(
+            self.profile, record.name, task.servers
+        )
+        if dispatcher.state.settings.policy.hedging:
+            dispatcher.timers.add(now + leg.usual_s, leg)
 
-    def _retry(self, task: Task, now: float) -> None:
-        if task not in self._open or task.legs:
+    def _go_on(self, task: Task, now: float) -> None:
+        assert self._merger is not None  # noqa: S101
+        if task.closed or task.legs:
             return
-        if self._send(task, "Placed a leg again.", now):
-            self._dispatcher.counters.retries += 1
+        holes = self._merger.list_holes(task.start, task.end)
+        if holes == [(task.start, task.end)]:
+            self._place(task, now)
+            self._finish_if_done(now)
             return
-        self._close(task)
-        self._fill([(task.start, task.end)], task.tried, now)
+        self._close(task, now)
+        parts = [self._add_task(task, start, end) for start, end in holes]
+        for part in parts:
+            if not part.closed:
+                self._place(part, now)
         self._finish_if_done(now)
 
-    def _fill(
-        self, holes: list[tuple[int, int]], tried: set[str], now: float
-    ) -> None:
+    def _replan(self, task: Task, now: float) -> None:
         assert self._merger is not None  # noqa: S101
-        for hole in holes:
-            plan = self._dispatcher.planner.plan_hole(
-                self.request.index, self._merger.snapshot, hole, now, tried
-            )
-            if plan.size < hole[1] - hole[0] and self._restart(now):
-                return
-            for segment in plan.segments:
-                task = Task(
-                    start=segment.start,
-                    end=segment.end,
-                    servers=segment.servers,
-                )
-                task.tried |= tried
-                if self._send(task, "Placed a leg for a hole.", now):
-                    self._open[task] = None
-                    self._dispatcher.counters.replacements += 1
+        hole = (task.start, task.end)
+        plan = self._dispatcher.planner.plan_hole(
+            self.request.index, self._merger.snapshot, hole, now, task.tried
+        )
+        if plan.size == task.end - task.start:
+            self._split(task, plan, now)
+            return
+        if self._lost_snapshot and self._restart(now):
+            return
+        if self._lost_snapshot and self._await_reports(task, now):
+            return
+        if task.spared and task.pauses < LONGEST_TRIES - 1:
+            self._pause(task, now)
+            return
+        self._split(task, plan, now)
+
+    def _split(self, task: Task, plan: Plan, now: float) -> None:
+        self._close(task, now)
+        for segment in plan.segments:
+            part = self._add_task(task, segment.start, segment.end)
+            part.servers = segment.servers
+            record = self._choose(part, now)
+            if record is None:
+                self._close(part, now)
+                continue
+            self._place(part, now)
+
+    def _add_task(self, former: Task, start: int, end: int) -> Task:
+        task = Task(run=self, start=start, end=end, servers=former.servers)
+        task.tried = set(former.tried)
+        task.spared = set(former.spared)
+        task.pauses = former.pauses
+        task.may_have_run = former.may_have_run
+        self._open[task] = None
+        return task
+
+    def _pause(self, task: Task, now: float) -> None:
+        pause_s = min(FIRST_PAUSE_S * 2**task.pauses, LONGEST_PAUSE_S)
+        task.pauses += 1
+        self._dispatcher.timers.add(now + pause_s, task)
+
+    def _await_reports(self, task: Task, now: float) -> bool:
+        dispatcher = self._dispatcher
+        table = dispatcher.state.servers.holdings[self.request.index]
+        names = {*table.list_behind(), *task.tried}
+        self._awaited |= dispatcher.poll(sorted(names), now)
+        if not self._awaited:
+            return False
+        self._lost[task] = None
+        dispatcher.waiting[self] = None
+        return True
 
     def _restart(self, now: float) -> bool:
         assert self._merger is not None  # noqa: S101
-        if not self._lost_snapshot or now >= self.deadline:
-            return False
-        self._given_up.add(self._merger.snapshot)
+        without = frozenset((*self._given_up, self._merger.snapshot))
         plan = self._dispatcher.planner.choose(
-            self.request.index, now, frozenset(self._given_up)
+            self.request.index, now, without
         )
         if plan is None or not plan.is_complete:
             return False
+        self._given_up.add(self._merger.snapshot)
         self._dispatcher.counters.restarts += 1
         self._dispatcher.log(
             self,
@@ -215,7 +352,10 @@
             Field(name="former", value=self._merger.snapshot),
             Field(name="snapshot", value=plan.snapshot),
         )
-        self._stop()
+        ran = sum(1 for task in self._open if task.may_have_run)
+        self._budget.add_extra(ran + self._replies, now)
+        self._replies = 0
+        self._stop(now)
         self._begin(plan, now)
         return True
 
@@ -232,22 +372,26 @@
                     key_range=KeyRange(start=start, end=end),
                     now=now,
                 )
+        self._dispatcher.poll((leg.server,), now)
 
-    def _close(self, task: Task) -> None:
+    def _close(self, task: Task, now: float) -> None:
         self._open.pop(task, None)
-        if task.legs:
-            self._dispatcher.cancel_all((task,))
+        self._lost.pop(task, None)
+        self._dispatcher.cancel_all((task,), now)
 
-    def _stop(self) -> None:
-        self._dispatcher.cancel_all(self._open)
+    def _stop(self, now: float) -> None:
+        self._dispatcher.cancel_all(self._open, now)
         self._open.clear()
+        self._lost.clear()
 
     def _finish_if_done(self, now: float) -> None:
         if not self._open and not self.finished:
             self._finish(now)
 
     def _finish(self, now: float) -> None:
-        self._stop()
+        if self.finished:
+            return
+        self._stop(now)
         answer = self._build_answer(now)
         self._dispatcher.finish(self)
         self._dispatcher.answer(self, answer)
@@ -285,7 +429,7 @@
     def _name_refusal(self, now: float) -> NotRunKind:
         if self._refused:
             return NotRunKind.REFUSED_BY_SERVERS
-        if now >= self.deadline:
+        if self._too_late or now >= self.deadline:
             return NotRunKind.DELAY_PASSED_UNSENT
         return NotRunKind.NO_SERVER
 
--- a/packages/bluebellbay/bluebellbay/coordination/snapshot.py
+++ b/packages/bluebellbay/bluebellbay/coordination/snapshot.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from bluebellbay.protocol.key_range import KEY_SPACE_END
+from bluebellbay.state.coverage import RangeSet
 from bluebellbay.state.holding import HeldRange
 from bluebellbay.state.server import ServerTable
 
@@ -41,6 +42,13 @@
         """Whether the segments cover the whole key space."""
         return self.size == KEY_SPACE_END
 
+    def list_holes(self) -> list[tuple[int, int]]:
+        """List the ranges that no segment covers, as start and end."""
+        covered = RangeSet()
+        for segment in self.segments:
+            covered.add(segment.start, segment.end)
+        return covered.list_holes(0, KEY_SPACE_END)
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _PlanKey:
--- a/packages/bluebellbay/bluebellbay/coordination/timer.py
+++ b/packages/bluebellbay/bluebellbay/coordination/timer.py
@@ -9,6 +9,8 @@
 class Timed(abc.ABC):
     """Something that waits for a time."""
 
+    __slots__ = ()
+
     @property
     @abc.abstractmethod
     def is_over(self) -> bool:
--- a/packages/bluebellbay/bluebellbay/state/holding.py
+++ b/packages/bluebellbay/bluebellbay/state/holding.py
@@ -189,6 +189,15 @@
         }
         return tuple(sorted(found, reverse=True))
 
+    def list_behind(self) -> tuple[str, ...]:
+        """List the servers that hold none of the newest snapshot."""
+        newest = max(self.list_snapshots(), default=None)
+        return tuple(
+            server
+            for server, (_, holdings) in self._by_server.items()
+            if all(item.snapshot != newest for item in holdings)
+        )
+
     def list_ranges(
         self, snapshot: int, now: float = 0.0
     ) -> tuple[HeldRange, ...]:
--- a/packages/bluebellbay/bluebellbay/state/server.py
+++ b/packages/bluebellbay/bluebellbay/state/server.py
@@ -25,6 +25,7 @@
     :param latency_s: Estimate of its latency in seconds.
     :param failures: Failures in a row.
     :param ejected_until: Time in seconds until which it is set aside.
+    :param ejections: Times that it was set aside without replying since.
     :param hinted_load: Load that its endpoints last stated; a hint.
     """
 
@@ -43,6 +44,7 @@
     latency_s: float = 0.0
     failures: int = 0
     ejected_until: float = 0.0
+    ejections: int = 0
     hinted_load: float = 0.0
 
 
