--- /dev/null
+++ b/packages/bench/bluebellbay_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches over the decision core, in virtual time."""
--- a/packages/bluebellbay/bluebellbay/coordination/server.py
+++ b/packages/bluebellbay/bluebellbay/coordination/server.py
@@ -1,6 +1,7 @@
 """Keeps the table of backend servers after the platform's list and health."""
 
 from collections.abc import Iterator
+import heapq
 
 from bluebellbay.coordination.part import Part
 from bluebellbay.coordination.part import Step
@@ -28,7 +29,7 @@
     def __init__(self, *, state: NodeState) -> None:
         super().__init__(state=state)
         self._list_due_at = 0.0
-        self._poll_due_at: dict[str, float] = {}
+        self._polls: list[tuple[float, str]] = []
 
     @property
     def handles(self) -> tuple[type, ...]:
@@ -54,7 +55,9 @@
 
         :returns: Time in seconds.
         """
-        return min((self._list_due_at, *self._poll_due_at.values()))
+        if not self._polls:
+            return self._list_due_at
+        return min(self._list_due_at, self._polls[0][0])
 
     def _run_timers(self, now: float) -> Iterator[Step]:
         settings = self.state.settings
@@ -63,13 +66,13 @@
                 settings.platform.vm_list_poll_s
             )
             yield ReadVmList()
-        for name, due_at in self._poll_due_at.items():
-            if now < due_at:
+        while self._polls and self._polls[0][0] <= now:
+            _, name = heapq.heappop(self._polls)
+            record = self.state.servers.servers.get(name)
+            if record is None:
                 continue
-            self._poll_due_at[name] = now + self._jitter(
-                settings.policy.health_poll_s
-            )
-            record = self.state.servers.servers[name]
+            due_at = now + self._jitter(settings.policy.health_poll_s)
+            heapq.heappush(self._polls, (due_at, name))
             yield PollServer(server=name, address=record.address)
 
     def _jitter(self, period_s: float) -> float:
@@ -94,6 +97,7 @@
 
     def _add_server(self, entry: VmEntry, now: float) -> Iterator[Step]:
         index = self.state.servers.indexes[entry.index]
+        known = entry.name in self.state.servers.servers
         share = max(
             1, index.connection_limit // (len(self.state.fleet.peers) + 1)
         )
@@ -111,7 +115,8 @@
             connection_share=share,
         )
         self.state.servers.holdings[entry.index].remove_server(entry.name)
-        self._poll_due_at[entry.name] = now
+        if not known:
+            heapq.heappush(self._polls, (now, entry.name))
         yield SetConnectionShare(
             server=entry.name, address=entry.address, limit=share
         )
@@ -143,7 +148,6 @@
         if record.outstanding > 0:
             return
         del self.state.servers.servers[record.name]
-        del self._poll_due_at[record.name]
         self.state.servers.holdings[record.index].remove_server(record.name)
         yield SetConnectionShare(
             server=record.name, address=record.address, limit=0
