--- /dev/null
+++ b/features/steps/_reactor_thread.py
@@ -0,0 +1,40 @@
+"""Runs the reactor in a thread of its own, for steps that need sockets."""
+
+import queue
+import threading
+
+from twisted.internet import reactor
+from twisted.internet import threads
+
+LIMIT_S = 60
+
+_started = threading.Event()
+
+
+def call_in_reactor(function, *args, **kwargs):
+    """Call a function in the reactor's thread and give its result."""
+    if not _started.is_set():
+        _started.set()
+        runner = threading.Thread(
+            target=reactor.run,
+            kwargs={"installSignalHandlers": False},
+            daemon=True,
+        )
+        runner.start()
+    return threads.blockingCallFromThread(reactor, function, *args, **kwargs)
+
+
+class EventLog:
+    """Keeps the events that a link reports, for the steps to wait for."""
+
+    def __init__(self):
+        self._queue = queue.Queue()
+
+    def report(self, event):
+        self._queue.put(event)
+
+    def wait(self):
+        return self._queue.get(timeout=LIMIT_S)
+
+    def is_empty(self):
+        return self._queue.empty()
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/transport/pool.py
@@ -0,0 +1,324 @@
+"""A bounded pool of persistent HTTP connections to one server."""
+
+import collections
+from collections.abc import Callable
+import dataclasses
+import time
+from typing import Any
+
+from twisted.internet.base import DelayedCall
+from twisted.internet.defer import Deferred
+from twisted.internet.defer import succeed
+from twisted.internet.protocol import Factory
+from twisted.python.failure import Failure
+from twisted.web._newclient import HTTP11ClientProtocol
+from twisted.web._newclient import Request
+from twisted.web._newclient import RequestNotSent
+from twisted.web.http_headers import Headers
+
+from bluebellbay.transport._address import build_endpoint
+from bluebellbay.transport._http import BodyReader
+from bluebellbay.transport._http import BytesProducer
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_REPLY_BYTES = 16_777_216
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CallAnswered:
+    """A call was answered with a whole body.
+
+    :param status: HTTP status.
+    :param body: The body.
+    """
+
+    status: int
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CallFailed:
+    """A call ended without a whole answer.
+
+    :param sent: False only if no byte of the call was written.
+    :param expired: Whether it was held back as expired.
+    :param reason: One short phrase.
+    """
+
+    sent: bool
+    expired: bool = False
+    reason: str
+
+
+CallEnd = CallAnswered | CallFailed
+
+
+@dataclasses.dataclass(eq=False, slots=True, kw_only=True)
+class PooledCall:
+    """One HTTP call that waits for, or runs on, a pooled connection.
+
+    :param method: HTTP method.
+    :param path: Path on the server.
+    :param timeout_s: Time in seconds from submission to failure.
+    :param report: Told once how the call ended.
+    :param build_body: Builds the body right before it is written.
+    :param expires_at: Unix time in seconds after which it is not written.
+    """
+
+    method: bytes
+    path: bytes
+    timeout_s: float
+    report: Callable[[CallEnd], None]
+    build_body: Callable[[], bytes] | None = None
+    expires_at: float | None = None
+    timer: DelayedCall | None = None
+    connection: "_Connection | None" = None
+    ended: bool = False
+
+
+class _Connection(HTTP11ClientProtocol):
+    """A connection that tells its pool when it is free and when it is lost.
+
+    :param pool: The pool.
+    """
+
+    transport: Any
+
+    def __init__(self, pool: "ConnectionPool") -> None:
+        super().__init__(pool.take_back)
+        self._pool = pool
+
+    def connectionLost(self, reason: Failure) -> None:  # type: ignore[override]
+        super().connectionLost(reason)
+        self._pool.forget(self)
+
+
+class ConnectionPool:
+    """Runs calls on at most so many connections; the others wait in order.
+
+    A connection counts from the start of the attempt to open it until its
+    socket is closed, so that the bound also holds at the server.
+
+    :param reactor: The reactor.
+    :param address: ``host:port`` of the server.
+    :param limit: Most connections at once.
+    :param wall_clock: Gives the present Unix time in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        address: str,
+        limit: int,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._reactor = reactor
+        self._limit = limit
+        self._wall_clock = wall_clock
+        self._endpoint = build_endpoint(
+            reactor, address=address, timeout_s=CONNECT_TIMEOUT_S
+        )
+        self._headers = Headers(
+            {
+                b"Host": [address.encode()],
+                b"Content-Type": [b"application/json"],
+            }
+        )
+        self._waiting: collections.deque[PooledCall] = collections.deque()
+        self._attempts: set[Deferred[Any]] = set()
+        self._idle: list[_Connection] = []
+        self._open: set[_Connection] = set()
+        self._closing: set[_Connection] = set()
+        self._stopped: Deferred[None] | None = None
+
+    @property
+    def size(self) -> int:
+        """Connections that are open or being opened."""
+        return len(self._open) + len(self._attempts)
+
+    def set_limit(self, *, limit: int, warm: int) -> None:
+        """Change the bound, and open connections ahead of need.
+
+        :param limit: Most connections at once.
+        :param warm: Connections to have open.
+        """
+        self._limit = limit
+        self._close_surplus()
+        self._run_waiting()
+        for _ in range(min(warm, limit) - self.size):
+            self._open_connection()
+
+    def submit(self, call: PooledCall) -> None:
+        """Run a call as soon as a connection is free.
+
+        :param call: The call.
+        """
+        self._enqueue(call, self._waiting.append)
+
+    def submit_first(self, call: PooledCall) -> None:
+        """Run a call before those that wait.
+
+        :param call: The call.
+        """
+        self._enqueue(call, self._waiting.appendleft)
+
+    def withdraw(self, call: PooledCall) -> bool:
+        """Take a call back if nothing of it has been written.
+
+        :param call: The call.
+        :returns: Whether it was taken back; its end is reported then.
+        """
+        if call.ended or call.connection is not None:
+            return False
+        self._waiting.remove(call)
+        self._end(call, CallFailed(sent=False, reason="cancelled"))
+        return True
+
+    def stop(self) -> Deferred[None]:
+        """Fail what waits, and close all connections.
+
+        :returns: Fires once they are closed.
+        """
+        self._limit = 0
+        while self._waiting:
+            call = self._waiting.popleft()
+            self._end(call, CallFailed(sent=False, reason="stopped"))
+        for attempt in tuple(self._attempts):
+            attempt.cancel()
+        if not self._open:
+            return succeed(None)
+        self._stopped = Deferred()
+        for connection in tuple(self._open):
+            connection.transport.abortConnection()
+        return self._stopped
+
+    def take_back(self, connection: "_Connection") -> None:
+        """Use a connection, which has become free, for the next call.
+
+        :param connection: The connection.
+        """
+        # The present call ends next, which then runs those that wait.
+        self._idle.append(connection)
+        self._close_surplus()
+
+    def forget(self, connection: "_Connection") -> None:
+        """Stop counting a connection that is closed.
+
+        :param connection: The connection.
+        """
+        self._open.discard(connection)
+        self._closing.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+        if self._stopped is not None and not self._open:
+            stopped, self._stopped = self._stopped, None
+            stopped.callback(None)
+        self._run_waiting()
+
+    def _enqueue(
+        self, call: PooledCall, enqueue: Callable[[PooledCall], None]
+    ) -> None:
+        call.timer = self._reactor.callLater(
+            call.timeout_s, self._time_out, call
+        )
+        enqueue(call)
+        self._run_waiting()
+
+    def _run_waiting(self) -> None:
+        while self._waiting and self._idle:
+            self._write(self._waiting.popleft(), self._idle.pop())
+        wanted = min(len(self._waiting), self._limit - len(self._open))
+        for _ in range(wanted - len(self._attempts)):
+            self._open_connection()
+
+    def _close_surplus(self) -> None:
+        surplus = self.size - len(self._closing) - self._limit
+        for connection in self._idle[: max(0, surplus)]:
+            self._idle.remove(connection)
+            self._closing.add(connection)
+            connection.transport.loseConnection()
+
+    def _open_connection(self) -> None:
+        factory = Factory.forProtocol(lambda: _Connection(self))
+        attempt = self._endpoint.connect(factory)
+        self._attempts.add(attempt)
+        attempt.addCallbacks(
+            self._connected, self._not_connected, (attempt,), {}, (attempt,)
+        )
+
+    def _connected(self, connection: Any, attempt: Deferred[Any]) -> None:
+        self._attempts.discard(attempt)
+        self._open.add(connection)
+        self._idle.append(connection)
+        self._close_surplus()
+        self._run_waiting()
+
+    def _not_connected(self, failure: Failure, attempt: Deferred[Any]) -> None:
+        self._attempts.discard(attempt)
+        if self._waiting:
+            call = self._waiting.popleft()
+            reason = f"not connected: {_name_fault(failure)}"
+            self._end(call, CallFailed(sent=False, reason=reason))
+        self._run_waiting()
+
+    def _write(self, call: PooledCall, connection: "_Connection") -> None:
+        body = None
+        if call.build_body is not None:
+            body = BytesProducer(call.build_body())
+        request = Request(
+            call.method, call.path, self._headers, body, persistent=True
+        )
+        if _has_expired(call, self._wall_clock()):
+            self._idle.append(connection)
+            end = CallFailed(sent=False, expired=True, reason="expired")
+            self._end(call, end)
+            return
+        call.connection = connection
+        answered = connection.request(request)
+        answered.addCallbacks(
+            self._read_body, self._fail, (call,), {}, (call,)
+        )
+
+    def _read_body(self, response: Any, call: PooledCall) -> None:
+        def report(body: bytes | None) -> None:
+            if body is None:
+                end = CallFailed(sent=True, reason="answer cut short")
+                self._end(call, end)
+                return
+            self._end(call, CallAnswered(status=response.code, body=body))
+
+        response.deliverBody(BodyReader(limit=MAX_REPLY_BYTES, report=report))
+
+    def _fail(self, failure: Failure, call: PooledCall) -> None:
+        sent = not failure.check(RequestNotSent)
+        reason = _name_fault(failure)
+        self._end(call, CallFailed(sent=sent, reason=reason))
+
+    def _time_out(self, call: PooledCall) -> None:
+        call.timer = None
+        if call.connection is None:
+            self._waiting.remove(call)
+            self._end(call, CallFailed(sent=False, reason="timed out waiting"))
+            return
+        connection = call.connection
+        self._end(call, CallFailed(sent=True, reason="timed out"))
+        connection.transport.abortConnection()
+
+    def _end(self, call: PooledCall, end: CallEnd) -> None:
+        if call.ended:
+            return
+        call.ended = True
+        if call.timer is not None:
+            call.timer.cancel()
+            call.timer = None
+        call.report(end)
+        self._run_waiting()
+
+
+def _has_expired(call: PooledCall, now: float) -> bool:
+    return call.expires_at is not None and now >= call.expires_at
+
+
+def _name_fault(failure: Failure) -> str:
+    return type(failure.value).__name__
--- /dev/null
+++ b/packages/bluebellbayd/bluebellbayd/log.py
@@ -0,0 +1,61 @@
+"""Log lines: short sentences with a fixed prefix for each part."""
+
+from collections.abc import MutableMapping
+import logging
+import sys
+from typing import Any
+
+import structlog
+
+from bluebellbay.protocol.command import LogDecision
+from bluebellbay.settings import LogSettings
+
+
+def configure_log(settings: LogSettings, *, node: str) -> None:
+    """Set up logging to standard error.
+
+    :param settings: What is logged and how.
+    :param node: Name of this node; part of each JSON line.
+    """
+    as_json = settings.form == "json"
+    renderer: Any = (
+        structlog.processors.JSONRenderer()
+        if as_json
+        else structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
+    )
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            _prefix_sentence,
+            renderer,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    if as_json:
+        structlog.contextvars.bind_contextvars(node=node)
+
+
+def log_decision(decision: LogDecision) -> None:
+    """Write the line of one decision.
+
+    :param decision: The decision.
+    """
+    fields = {field.name: field.value for field in decision.fields}
+    if decision.request_id:
+        fields["request_id"] = decision.request_id
+    structlog.get_logger().info(
+        decision.sentence, part=decision.part, **fields
+    )
+
+
+def _prefix_sentence(
+    logger: Any, method: str, line: MutableMapping[str, Any]
+) -> MutableMapping[str, Any]:
+    part = line.pop("part", "daemon")
+    line["event"] = f"{part}: {line['event']}"
+    return line
--- /dev/null
+++ b/packages/bluebellbayd/bluebellbayd/metrics.py
@@ -0,0 +1,199 @@
+"""What is measured, for Prometheus."""
+
+from prometheus_client import CollectorRegistry
+from prometheus_client import Counter
+from prometheus_client import Gauge
+from prometheus_client import Histogram
+
+from bluebellbay.protocol.answer import Answer
+from bluebellbay.protocol.command import SendLeg
+from bluebellbay.protocol.event import Event
+from bluebellbay.protocol.event import LegFailed
+from bluebellbay.protocol.event import LegRefused
+from bluebellbay.protocol.event import LegReplied
+from bluebellbay.protocol.event import PeerDropped
+from bluebellbay.protocol.event import PeerReceived
+from bluebellbay.protocol.event import StoreFailed
+
+LATENCY_BUCKETS_S = (
+    0.005,
+    0.01,
+    0.02,
+    0.03,
+    0.05,
+    0.075,
+    0.1,
+    0.15,
+    0.2,
+    0.26,
+    0.35,
+    0.5,
+    0.75,
+    1.0,
+    2.0,
+    5.0,
+    15.0,
+    60.0,
+)
+COVERAGE_BUCKETS = (0.5, 0.8, 0.9, 0.95, 0.98, 0.99, 0.999, 1.0)
+
+
+class Metrics:
+    """The metrics of one node.
+
+    :param registry: Where they are published.
+    """
+
+    def __init__(self, *, registry: CollectorRegistry) -> None:
+        self.registry = registry
+        self._latency = Histogram(
+            "bluebellbay_answer_seconds",
+            "Time from a request's arrival to its answer.",
+            ("profile", "outcome"),
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self._coverage = Histogram(
+            "bluebellbay_answer_coverage",
+            "Coverage of answers that carry rows, as a fraction.",
+            ("profile",),
+            buckets=COVERAGE_BUCKETS,
+            registry=registry,
+        )
+        self._errors = Counter(
+            "bluebellbay_errors",
+            "Answers with an error.",
+            ("profile", "kind"),
+            registry=registry,
+        )
+        self._legs = Counter(
+            "bluebellbay_legs",
+            "Legs sent to backend servers.",
+            ("index",),
+            registry=registry,
+        )
+        self._leg_ends = Counter(
+            "bluebellbay_leg_ends",
+            "Legs by the way they ended.",
+            ("end",),
+            registry=registry,
+        )
+        self._cancelled = Counter(
+            "bluebellbay_legs_cancelled",
+            "Legs that were no longer wanted.",
+            registry=registry,
+        )
+        self._peer_received = Counter(
+            "bluebellbay_peer_messages_received",
+            "Messages taken from peers.",
+            registry=registry,
+        )
+        self._peer_sent = Counter(
+            "bluebellbay_peer_messages_sent",
+            "Messages given to the sockets for peers.",
+            registry=registry,
+        )
+        self._peer_dropped = Counter(
+            "bluebellbay_peer_messages_dropped",
+            "Messages from peers that were unreadable, forged or replayed.",
+            registry=registry,
+        )
+        self._store_calls = Counter(
+            "bluebellbay_store_calls",
+            "Calls of the platform's store, each watch as one.",
+            ("call",),
+            registry=registry,
+        )
+        self._store_failures = Counter(
+            "bluebellbay_store_failures",
+            "Calls of the platform's store that failed.",
+            registry=registry,
+        )
+        self._in_flight = Gauge(
+            "bluebellbay_requests_in_flight",
+            "Requests of callers that have no answer yet.",
+            registry=registry,
+        )
+        self._revision = Gauge(
+            "bluebellbay_configuration_revision",
+            "Configuration revision in force.",
+            registry=registry,
+        )
+        self._core_seconds = Counter(
+            "bluebellbay_core_seconds",
+            "Time spent in the decision core.",
+            registry=registry,
+        )
+        self._event_counters = {
+            LegReplied: self._leg_ends.labels(end="replied"),
+            LegRefused: self._leg_ends.labels(end="refused"),
+            LegFailed: self._leg_ends.labels(end="failed"),
+            PeerReceived: self._peer_received,
+            PeerDropped: self._peer_dropped,
+            StoreFailed: self._store_failures,
+        }
+
+    def observe_answer(self, answer: Answer, latency_s: float) -> None:
+        """Take note of an answer.
+
+        :param answer: The answer.
+        :param latency_s: Time in seconds since the request arrived.
+        """
+        self._latency.labels(
+            profile=answer.profile, outcome=answer.outcome.value
+        ).observe(latency_s)
+        if answer.error is not None:
+            self._errors.labels(
+                profile=answer.profile, kind=answer.error.kind
+            ).inc()
+            return
+        self._coverage.labels(profile=answer.profile).observe(
+            answer.coverage.fraction
+        )
+
+    def count_event(self, event: Event) -> None:
+        """Take note of an event.
+
+        :param event: The event.
+        """
+        counter = self._event_counters.get(type(event))
+        if counter is not None:
+            counter.inc()
+
+    def count_leg(self, command: SendLeg) -> None:
+        """Take note of a leg that is sent.
+
+        :param command: The leg.
+        """
+        self._legs.labels(index=command.leg.index).inc()
+
+    def count_cancelled(self) -> None:
+        """Take note of a leg that is no longer wanted."""
+        self._cancelled.inc()
+
+    def count_store_call(self, call: str) -> None:
+        """Take note of a call of the store.
+
+        :param call: ``read``, ``write`` or ``watch``.
+        """
+        self._store_calls.labels(call=call).inc()
+
+    def count_peer_message(self) -> None:
+        """Take note of a message given to a socket for a peer."""
+        self._peer_sent.inc()
+
+    def count_core_time(self, spent_s: float) -> None:
+        """Take note of time spent in the decision core.
+
+        :param spent_s: Time in seconds.
+        """
+        self._core_seconds.inc(spent_s)
+
+    def set_gauges(self, *, in_flight: int, revision: int) -> None:
+        """Set what is read when the metrics are asked for.
+
+        :param in_flight: Requests without an answer.
+        :param revision: Configuration revision in force.
+        """
+        self._in_flight.set(in_flight)
+        self._revision.set(revision)
--- /dev/null
+++ b/packages/bluebellbayd/bluebellbayd/status.py
@@ -0,0 +1,61 @@
+"""Builds what a node tells operators about itself."""
+
+from bluebellbay.protocol.status import NodeStatus
+from bluebellbay.protocol.status import PeerSummary
+from bluebellbay.protocol.status import ServerSummary
+from bluebellbay.state.node import NodeState
+
+
+def build_status(state: NodeState, *, healthy: bool, now: float) -> NodeStatus:
+    """Build a node's status from what it knows.
+
+    :param state: The node's state.
+    :param healthy: Whether it takes new requests.
+    :param now: Present time in seconds.
+    :returns: The status.
+    """
+    configuration = state.configuration
+    document = configuration.document
+    node = state.settings.node
+    return NodeStatus(
+        name=node.name,
+        failure_domain=node.failure_domain,
+        healthy=healthy,
+        config_revision=configuration.revision,
+        config_change_id=document.change_id if document else "",
+        config_confirmed=configuration.is_confirmed(
+            now=now, within_s=state.settings.fleet.confirm_s
+        ),
+        peers=_list_peers(state),
+        servers=_list_servers(state, now=now),
+    )
+
+
+def _list_peers(state: NodeState) -> tuple[PeerSummary, ...]:
+    return tuple(
+        PeerSummary(
+            name=peer.name,
+            failure_domain=peer.failure_domain,
+            address=peer.address,
+            status=peer.status.value,
+        )
+        for _, peer in sorted(state.fleet.peers.items())
+    )
+
+
+def _list_servers(
+    state: NodeState, *, now: float
+) -> tuple[ServerSummary, ...]:
+    return tuple(
+        ServerSummary(
+            name=server.name,
+            index=server.index,
+            service=server.service,
+            failure_domain=server.failure_domain,
+            leaving=server.leaving,
+            connection_share=server.connection_share,
+            outstanding=server.outstanding,
+            ejected=server.ejected_until > now,
+        )
+        for _, server in sorted(state.servers.servers.items())
+    )
