--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/coordination/admission.py
@@ -0,0 +1,42 @@
+"""Checks a request before any work is done for it."""
+
+from bluebellbay.protocol.error import NotRunKind
+from bluebellbay.protocol.request import QueryRequest
+from bluebellbay.state.node import NodeState
+
+
+def check_request(
+    request: QueryRequest, state: NodeState, now: float
+) -> NotRunKind | None:
+    """Find why a request cannot be taken.
+
+    :param request: The request.
+    :param state: What the node knows.
+    :param now: Present time in seconds.
+    :returns: The kind of error, or none if the request is in order.
+    """
+    if request.index not in state.servers.indexes:
+        return NotRunKind.UNKNOWN_INDEX
+    if state.configuration.document is None:
+        return NotRunKind.NO_CONFIGURATION
+    if state.configuration.find_profile(request.profile) is None:
+        return NotRunKind.UNKNOWN_PROFILE
+    if request.expires_at is not None and request.expires_at <= now:
+        return NotRunKind.EXPIRED
+    if request.repeatable:
+        return None
+    return _check_once(request, state, now)
+
+
+def _check_once(
+    request: QueryRequest, state: NodeState, now: float
+) -> NotRunKind | None:
+    if not request.request_id:
+        return NotRunKind.MISSING_REQUEST_ID
+    if request.expires_at is None:
+        return NotRunKind.MISSING_EXPIRY
+    if request.expires_at - now > state.settings.limits.expiry_s:
+        return NotRunKind.EXPIRY_TOO_FAR
+    if state.servers.indexes[request.index].services > 1:
+        return None if request.key is not None else NotRunKind.AMBIGUOUS_TARGET
+    return None
