Run the core in a daemon that serves callers and operators

Cause: nothing fed events to the core or carried out its commands. Ruled out: stepping the core again while one of its commands is carried out; events wait in a queue, so that commands keep their order. A clock that only follows the wall clock, as time at the core would go back; one that waits for it, as timers would stand still. Before: features/daemon.feature could not run. Each mechanism broken in turn and seen red: the notice of a caller's leaving, the flush before the end, the clock. Conclusion: one process serves queries, health, status and metrics.

--- /dev/null
+++ b/features/steps/daemon_steps.py
@@ -0,0 +1,313 @@
+"""Steps about the daemon."""
+
+import http.client
+import json
+import pathlib
+import random
+import subprocess
+import sys
+import tempfile
+import time
+
+from _reactor_thread import call_in_reactor
+import behave
+import hypothesis
+from hypothesis import strategies
+from twisted.internet import reactor
+import yaml
+
+from bluebellbay.coordination.part import Part
+from bluebellbay.protocol.answer import Answer
+from bluebellbay.protocol.answer import Row
+from bluebellbay.protocol.command import AnswerCaller
+from bluebellbay.protocol.command import ReportHealth
+from bluebellbay.protocol.command import StopProcess
+from bluebellbay.protocol.configuration import ConfigurationDocument
+from bluebellbay.protocol.error import Outcome
+from bluebellbay.protocol.event import CallerGone
+from bluebellbay.protocol.event import QueryArrived
+from bluebellbay.protocol.event import TimePassed
+from bluebellbay.settings import parse_settings
+from bluebellbayd.clock import SteadyClock
+from bluebellbayd.daemon import Daemon
+
+AMPLE_S = 60
+
+
+class HoldingPart(Part):
+    """Holds requests back until the steps say what to do."""
+
+    def __init__(self, *, state):
+        super().__init__(state=state)
+        self.callers = {}
+        self.gone = set()
+        self.due = []
+        state.holding_part = self
+
+    @property
+    def handles(self):
+        return (QueryArrived, CallerGone, TimePassed)
+
+    def step(self, event, now):
+        if isinstance(event, QueryArrived):
+            self.callers[event.request.request_id] = event.caller
+        if isinstance(event, CallerGone):
+            self.gone.add(event.caller)
+        due, self.due = self.due, []
+        return due
+
+
+def make_settings(**changes):
+    data = {
+        "node": {
+            "name": "vm-1",
+            "failure_domain": "fd-1",
+            "listen": "127.0.0.1:0",
+            "peer_listen": "127.0.0.1:0",
+        },
+        "platform": {
+            "store": "http://127.0.0.1:1",
+            "vm_list": "http://127.0.0.1:1",
+        },
+        "indexes": [{"name": "press-desk"}],
+        "log": {"decisions": False},
+    }
+    for section, values in changes.items():
+        data.setdefault(section, {}).update(values)
+    return data
+
+
+@behave.given("a daemon whose core holds requests back")
+def start_daemon(context):
+    context.daemon = Daemon(
+        settings=parse_settings(make_settings()).ok,
+        reactor=reactor,
+        rng=random.Random(1),
+        parts=(HoldingPart,),
+    )
+    context.part = context.daemon.core.state.holding_part
+    call_in_reactor(context.daemon.start)
+    context.address = f"127.0.0.1:{context.daemon.port}"
+    context.add_cleanup(lambda: do_at_core(context, StopProcess()))
+
+
+def do_at_core(context, *commands):
+    def do():
+        context.part.due.extend(commands)
+        context.daemon.feed(TimePassed())
+
+    call_in_reactor(do)
+
+
+def wait_for(condition):
+    deadline = time.monotonic() + AMPLE_S
+    while not condition():
+        assert time.monotonic() < deadline
+        time.sleep(0.01)
+
+
+def connect(context):
+    return http.client.HTTPConnection(context.address, timeout=AMPLE_S)
+
+
+def post(context, body):
+    connection = connect(context)
+    connection.request("POST", "/v1/query/press-desk", body)
+    response = connection.getresponse()
+    context.status = response.status
+    context.answer = json.loads(response.read())
+    connection.close()
+
+
+@behave.when('a caller sends the body "{body}" to it')
+def send_body(context, body):
+    post(context, body.replace('\\"', '"'))
+
+
+@behave.when("a caller sends a body nested {depth:d} deep to it")
+def send_nested(context, depth):
+    query = "[" * depth + "]" * depth
+    post(context, '{"profile": "p", "query": ' + query + "}")
+
+
+@behave.when("a caller sends a body of {size:d} bytes to it")
+def send_large(context, size):
+    post(context, "x" * size)
+
+
+@behave.then('the caller gets status {status:d} and error "{kind}" as not run')
+def check_refused(context, status, kind):
+    assert context.status == status, context.status
+    assert context.answer["outcome"] == "not-run"
+    assert context.answer["error"]["kind"] == kind
+    assert context.answer["error"]["ran"] == "no"
+
+
+@behave.then("the core has been told of no request")
+def check_untold(context):
+    assert not context.part.callers
+
+
+@behave.when('callers "{names}" send a request each')
+def send_requests(context, names):
+    context.connections = {}
+    for name in names.split():
+        connection = connect(context)
+        body = json.dumps({"profile": "p", "request_id": name})
+        connection.request("POST", "/v1/query/press-desk", body)
+        context.connections[name] = connection
+    wait_for(lambda: len(context.part.callers) == len(names.split()))
+
+
+def make_answer(context, name, rows):
+    answer = Answer(
+        request_id=name,
+        outcome=Outcome.ANSWERED,
+        rows=tuple(Row(key=key, value=name) for key in range(rows)),
+    )
+    return AnswerCaller(caller=context.part.callers[name], answer=answer)
+
+
+@behave.when('the core answers callers "{names}" with {rows:d} rows each')
+def answer_callers(context, names, rows):
+    context.rows = rows
+    for name in names.split():
+        do_at_core(context, make_answer(context, name, rows))
+
+
+@behave.when(
+    'the core answers callers "{names}" with {rows:d} rows each and stops'
+)
+def answer_and_stop(context, names, rows):
+    context.rows = rows
+    answers = [make_answer(context, name, rows) for name in names.split()]
+    do_at_core(context, *answers, StopProcess())
+
+
+@behave.then('callers "{names}" have each read their own whole answer')
+def check_answers(context, names):
+    for name in names.split():
+        response = context.connections[name].getresponse()
+        body = response.read()
+        assert int(response.headers["Content-Length"]) == len(body)
+        answer = json.loads(body)
+        assert answer["request_id"] == name
+        assert len(answer["rows"]) == context.rows
+        assert all(row["value"] == name for row in answer["rows"])
+
+
+@behave.when('caller "{name}" closes its connection')
+def close_caller(context, name):
+    context.connections[name].close()
+
+
+@behave.then('the core is told that caller "{name}" is gone')
+def check_gone(context, name):
+    wait_for(lambda: context.part.gone == {context.part.callers[name]})
+
+
+@behave.then('GET "{path}" gives status {status:d}')
+def check_get(context, path, status):
+    connection = connect(context)
+    connection.request("GET", path)
+    response = connection.getresponse()
+    context.body = response.read().decode()
+    assert response.status == status, response.status
+    connection.close()
+
+
+@behave.when(
+    "a configuration of revision {revision:d} is in force at the daemon"
+)
+def set_configuration(context, revision):
+    document = ConfigurationDocument(revision=revision, change_id="c")
+    context.daemon.core.state.configuration.accept(document)
+
+
+@behave.then('the metrics hold "{line}"')
+def check_metrics(context, line):
+    assert line in context.body.splitlines(), context.body
+
+
+@behave.when("the core reports itself as leaving")
+def report_leaving(context):
+    do_at_core(context, ReportHealth(healthy=False))
+
+
+@behave.then("the daemon has stopped")
+def check_stopped(context):
+    wait_for(lambda: context.daemon.stopped.called)
+
+
+@behave.then(
+    "for any two clocks the daemon's time grows and is at least the wall's"
+)
+def check_clock(context):
+    steps = strategies.lists(
+        strategies.tuples(
+            strategies.floats(0, 1e6), strategies.floats(0.01, 1e4)
+        ),
+        min_size=1,
+    )
+
+    @hypothesis.settings(derandomize=True, database=None, deadline=None)
+    @hypothesis.given(steps)
+    def check(history):
+        times = {"wall": 0.0, "monotonic": 0.0}
+        clock = SteadyClock(
+            wall=lambda: times["wall"], monotonic=lambda: times["monotonic"]
+        )
+        last = clock.read()
+        for wall, passed in history:
+            times["wall"] = wall
+            times["monotonic"] += passed
+            now = clock.read()
+            assert now > last
+            assert now >= wall
+            last = now
+
+    check()
+
+
+def check_settings(context, data):
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "node.yaml"
+        path.write_text(yaml.safe_dump(data), encoding="utf-8")
+        context.done = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "bluebellbayd",
+                f"--settings={path}",
+                "--check-settings",
+            ],
+            capture_output=True,
+            text=True,
+            check=False,
+            timeout=AMPLE_S,
+        )
+
+
+@behave.when("bluebellbayd checks settings with two faults")
+def check_bad_settings(context):
+    bad = make_settings(node={"name": "No Name"}, limits={"queries": 0})
+    check_settings(context, bad)
+
+
+@behave.when("bluebellbayd checks good settings")
+def check_good_settings(context):
+    check_settings(context, make_settings())
+
+
+@behave.then('it ends with exit code 2 and names "{first}" and "{second}"')
+def check_faults(context, first, second):
+    assert context.done.returncode == 2, context.done
+    lines = context.done.stderr.splitlines()
+    assert len(lines) == 2, lines
+    assert first in lines[0], lines
+    assert second in lines[1], lines
+
+
+@behave.then("it ends with exit code 0")
+def check_good(context):
+    assert context.done.returncode == 0, context.done
--- a/packages/bluebellbay/bluebellbay/transport/caller.py
+++ b/packages/bluebellbay/bluebellbay/transport/caller.py
@@ -112,6 +112,8 @@
             return succeed(None)
         self._closed = Deferred()
         for connection in tuple(self.protocols):
+            # A producer that stays registered keeps the connection open.
+            connection.unregisterProducer()
             connection.loseConnection()
         return self._closed
 
