Claim a request in the store before it is sent

Cause: a request that is not repeatable must run at most once, also when duplicates reach several nodes, or the store's answer is lost. Ruled out: a lease, as a paused holder would still believe in it; granting after the deadline, as the caller was already told "not run". Before: nothing claimed. After: behave features/claim.feature, 8 scenarios passed. Shown failing: - another's claim taken as free: 3 failed, "ClaimGranted" - time limits run after the store's answer: 1 failed, "ClaimGranted" - a refused claim not released: 2 failed, "ClaimHeld(... outcome=None)" - a lost answer taken as granted: 3 failed, "ClaimGranted" - a failed read takes back a write: 1 failed, "ClaimHeld(... outcome=None)" Conclusion: time limits come before every answer of the store, and a refused claim is released by compare-and-swap so that the next attempt may run. Collection and compounding are not built yet.

--- /dev/null
+++ b/features/steps/claim_steps.py
@@ -0,0 +1,201 @@
+"""Steps about claims, with the store's answers given one by one."""
+
+import random
+
+import behave
+from claim_store import ClaimStore
+
+from bluebellbay.coordination.claim import ClaimPart
+from bluebellbay.coordination.core import Core
+from bluebellbay.coordination.part import Part
+from bluebellbay.protocol.answer import Answer
+from bluebellbay.protocol.command import LogDecision
+from bluebellbay.protocol.command import ReadKey
+from bluebellbay.protocol.command import WriteKey
+from bluebellbay.protocol.error import Outcome
+from bluebellbay.protocol.event import ClaimFinished
+from bluebellbay.protocol.event import ClaimGranted
+from bluebellbay.protocol.event import ClaimHeld
+from bluebellbay.protocol.event import ClaimRefused
+from bluebellbay.protocol.event import ClaimRequested
+from bluebellbay.protocol.event import StoreFailed
+from bluebellbay.protocol.event import TimePassed
+from bluebellbay.settings import parse_settings
+
+START_S = 1_000_000.0
+DEADLINE_S = 1.0
+EXPIRY_S = 60.0
+
+
+def build_claim_settings(name):
+    return parse_settings(
+        {
+            "node": {
+                "name": name,
+                "failure_domain": "one",
+                "listen": "127.0.0.1:1",
+                "peer_listen": "127.0.0.1:2",
+            },
+            "platform": {
+                "store": "http://127.0.0.1:3",
+                "vm_list": "http://127.0.0.1:4",
+            },
+            "indexes": [{"name": "ledgerrun"}],
+        }
+    ).ok
+
+
+class Recorder(Part):
+    """Notes what the claim part tells the query part."""
+
+    def __init__(self, *, state):
+        super().__init__(state=state)
+        state.told = []
+
+    @property
+    def handles(self):
+        return (ClaimGranted, ClaimHeld, ClaimRefused)
+
+    def step(self, event, now):
+        self.state.told.append(event)
+        return ()
+
+
+class ClaimingNode:
+    """One node's claim part, and its commands that wait for the store."""
+
+    def __init__(self, name, seed):
+        self.core = Core(
+            settings=build_claim_settings(name),
+            rng=random.Random(seed),
+            parts=(ClaimPart, Recorder),
+        )
+        self.waiting = []
+
+    def step(self, event, now):
+        for command in self.core.step(event, now):
+            if not isinstance(command, LogDecision):
+                assert isinstance(command, ReadKey | WriteKey), command
+                self.waiting.append(command)
+
+
+def answer_all(context, way):
+    """Let the store treat every waiting command in the way named."""
+    for node in context.claiming.values():
+        while node.waiting and way != "is silent":
+            command = node.waiting.pop(0)
+            event = StoreFailed(
+                ticket=command.ticket, key=command.key, sent=False
+            )
+            if way != "is down":
+                event = context.claim_store.apply(command)
+            if way == "'s answer is lost":
+                event = StoreFailed(
+                    ticket=command.ticket, key=command.key, sent=True
+                )
+            node.step(event, context.claim_now)
+            if way == "'s answer is lost":
+                break
+
+
+@behave.given("a claim store and the claiming nodes {first} and {second}")
+def build_nodes(context, first, second):
+    context.claim_store = ClaimStore()
+    context.claim_now = START_S
+    context.claiming = {
+        first: ClaimingNode(first, 1),
+        second: ClaimingNode(second, 2),
+    }
+
+
+@behave.when("node {name} claims {request_id} and the store {way}")
+def claim(context, name, request_id, way):
+    request_claim(context, name, request_id)
+    answer_all(context, way)
+
+
+@behave.when("node {name} claims {request_id} and the store's answer is lost")
+def claim_and_lose(context, name, request_id):
+    request_claim(context, name, request_id)
+    answer_all(context, "'s answer is lost")
+
+
+def request_claim(context, name, request_id):
+    context.claiming[name].step(
+        ClaimRequested(
+            request_id=request_id,
+            expires_at=START_S + EXPIRY_S,
+            deadline=context.claim_now + DEADLINE_S,
+        ),
+        context.claim_now,
+    )
+
+
+@behave.when(
+    "node {name} finishes {request_id} as {outcome} and the store answers"
+)
+def finish_claim(context, name, request_id, outcome):
+    answer = Answer(request_id=request_id, outcome=Outcome(outcome))
+    context.claiming[name].step(
+        ClaimFinished(request_id=request_id, answer=answer), context.claim_now
+    )
+    answer_all(context, "answers")
+
+
+@behave.when("{seconds:g} seconds pass and the store {way}")
+def pass_claim_time(context, seconds, way):
+    end = context.claim_now + seconds
+    while True:
+        answer_all(context, way)
+        wakes = [node.core.next_wake() for node in context.claiming.values()]
+        due = min((wake for wake in wakes if wake is not None), default=end)
+        if due > end:
+            break
+        context.claim_now = max(context.claim_now, due)
+        for node in context.claiming.values():
+            node.step(TimePassed(), context.claim_now)
+        if due == end:
+            break
+    context.claim_now = end
+
+
+@behave.when("{seconds:g} seconds pass while node {name} is frozen")
+def freeze_claiming(context, seconds, name):
+    context.claim_now += seconds
+
+
+@behave.when("the store answers")
+def answer_claims(context):
+    answer_all(context, "answers")
+
+
+@behave.then("node {name} was told granted")
+def check_granted(context, name):
+    told = context.claiming[name].core.state.told
+    assert [type(event) for event in told] == [ClaimGranted], told
+
+
+@behave.then("node {name} was told refused")
+def check_refused(context, name):
+    told = context.claiming[name].core.state.told
+    assert [type(event) for event in told] == [ClaimRefused], told
+
+
+@behave.then("node {name} was told held without outcome")
+def check_held(context, name):
+    (told,) = context.claiming[name].core.state.told
+    assert isinstance(told, ClaimHeld), told
+    assert told.outcome is None, told
+
+
+@behave.then("node {name} was told held with outcome {outcome}")
+def check_held_outcome(context, name, outcome):
+    (told,) = context.claiming[name].core.state.told
+    assert isinstance(told, ClaimHeld), told
+    assert told.outcome.outcome == outcome, told
+
+
+@behave.then("node {name} has no claim under way")
+def check_idle(context, name):
+    assert context.claiming[name].core.next_wake() is None
+    assert not context.claiming[name].waiting
--- a/packages/bluebellbay/bluebellbay/coordination/core.py
+++ b/packages/bluebellbay/bluebellbay/coordination/core.py
@@ -3,6 +3,7 @@
 import collections
 import random
 
+from bluebellbay.coordination.claim import ClaimPart
 from bluebellbay.coordination.part import Part
 from bluebellbay.protocol.command import Command
 from bluebellbay.protocol.event import Event
@@ -69,4 +70,4 @@
 
 def list_parts() -> tuple[type[Part], ...]:
     """List the parts of a whole node, in the order they are told events."""
-    return ()
+    return (ClaimPart,)
