--- a/packages/bench/bluebellbay_bench/server.py
+++ b/packages/bench/bluebellbay_bench/server.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Callable
 import dataclasses
+import functools
 
 from bluebellbay.protocol.event import Event
 from bluebellbay.protocol.event import LegFailed
@@ -193,7 +194,7 @@
                 service=self.service,
                 server=self.name,
             )
-            self._schedule(now + time_s, lambda at, j=job: self._end(j, at))
+            self._schedule(now + time_s, functools.partial(self._end, job))
 
     def _end(self, job: _Job, now: float) -> None:
         if job.done or self.condition.down or self.condition.silent:
--- a/packages/bench/bluebellbay_bench/situation.py
+++ b/packages/bench/bluebellbay_bench/situation.py
@@ -27,6 +27,7 @@
     name: str
     shape = Shape()
 
+    @abc.abstractmethod
     def apply(self, world: World) -> None:
         """Schedule what goes wrong.
 
@@ -63,6 +64,12 @@
 
     name = "steady"
 
+    def apply(self, world: World) -> None:
+        """Leave the servers alone.
+
+        :param world: The run.
+        """
+
 
 class Straggler(Situation):
     """One server becomes ten times slower."""
@@ -121,6 +128,12 @@
     name = "overload"
     shape = Shape(load=1.5, first_share=0.4, seconds=12.0)
 
+    def apply(self, world: World) -> None:
+        """Leave the servers alone.
+
+        :param world: The run.
+        """
+
 
 class LyingLoad(Situation):
     """A straggler's endpoints state that it is idle, the others full."""
@@ -170,7 +183,7 @@
         world.stop_platform(FAULT_AT_S)
 
 
-class Wide(Situation):
+class Wide(Steady):
     """Each query goes to 840 services."""
 
     name = "wide"
--- a/packages/bench/bluebellbay_bench/world.py
+++ b/packages/bench/bluebellbay_bench/world.py
@@ -204,7 +204,7 @@
     def run(self) -> None:
         """Run until the last query is answered or overdue."""
         end_s = self.shape.seconds
-        self._schedule(QUIET_S, lambda now: self._arrive(now))
+        self._schedule(QUIET_S, self._arrive)
         self._step(TimePassed(), 0.0)
         grace_s = 2 * self.shape.delay_ms / 1000
         while self._heap and self._heap[0][0] <= end_s + grace_s:
