Add bluebellctl

Ruled out: letting the daemons make changes for the operator, since a change must also work while every entry VM is being replaced.

--- /dev/null
+++ b/packages/bluebellctl/bluebellctl/check.py
@@ -0,0 +1,33 @@
+"""The check command."""
+
+import pathlib
+
+from bluebellbay.settings import load_settings
+from bluebellctl.exit_code import ExitCode
+from bluebellctl.report import Report
+
+
+def check_file(path: pathlib.Path) -> Report:
+    """Check a settings file.
+
+    :param path: Path of the file.
+    :returns: The report, with a line for each fault.
+    """
+    result = load_settings(path)
+    if result.is_error():
+        faults = [str(fault) for fault in result.error]
+        return Report(
+            code=ExitCode.USAGE, message="\n".join(faults), data=faults
+        )
+    settings = result.ok
+    services = sum(index.services for index in settings.indexes)
+    replicas = sum(
+        index.services * index.replicas for index in settings.indexes
+    )
+    return Report(
+        code=ExitCode.DONE,
+        message=f"{path} is good: {len(settings.indexes)} indexes, "
+        f"{services} services, {replicas} replicas, "
+        f"{len(settings.peers)} entry VMs.",
+        data=[],
+    )
