Spread the configuration and build the operators' changes

Cause: nothing read, kept or spread the operators' document. Ruled out: taking any higher document from a peer as it is; after a store was restored, a higher revision may lack changes that are in force. Such a document is joined with the one in force and brought up by compare-and-swap. Before: no part; no scenario.

--- a/packages/bluebellbay/bluebellbay/coordination/core.py
+++ b/packages/bluebellbay/bluebellbay/coordination/core.py
@@ -3,6 +3,8 @@
 import collections
 import random
 
+from bluebellbay.coordination.configuration import ConfigurationPart
+from bluebellbay.coordination.membership import MembershipPart
 from bluebellbay.coordination.part import Part
 from bluebellbay.protocol.command import Command
 from bluebellbay.protocol.event import Event
@@ -69,4 +71,4 @@
 
 def list_parts() -> tuple[type[Part], ...]:
     """List the parts of a whole node, in the order they are told events."""
-    return ()
+    return (MembershipPart, ConfigurationPart)
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/coordination/watcher.py
@@ -0,0 +1,26 @@
+"""Choice of the nodes that watch the store for their failure domain."""
+
+import hashlib
+
+from bluebellbay.state.fleet import FleetView
+
+
+def is_watcher(fleet: FleetView, *, watchers: int) -> bool:
+    """Say whether this node is a watcher of its failure domain.
+
+    Rendezvous hashing over the live view: a node that sees no live peer of
+    its domain is always one.
+
+    :param fleet: The fleet as this node sees it.
+    :param watchers: Watchers wanted in each failure domain.
+    :returns: Whether it is.
+    """
+    own = _weigh(fleet.node.name)
+    heavier = sum(
+        _weigh(peer.name) > own for peer in fleet.list_domain_peers()
+    )
+    return heavier < watchers
+
+
+def _weigh(name: str) -> bytes:
+    return hashlib.blake2b(name.encode(), digest_size=8).digest()
--- a/packages/bluebellbay/bluebellbay/protocol/configuration.py
+++ b/packages/bluebellbay/bluebellbay/protocol/configuration.py
@@ -5,6 +5,8 @@
 from bluebellbay.protocol.profile import Profile
 
 CONFIGURATION_KEY = "bluebellbay/configuration"
+MAX_DOCUMENT_BYTES = 786_432
+MAX_RECENT_CHANGES = 32
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -35,6 +37,22 @@
     leaving: bool = True
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ChangeNote:
+    """One of the latest changes, kept to settle lost answers.
+
+    :param revision: Revision that the change made.
+    :param change_id: Random id of the change.
+    :param author: Who made it.
+    :param summary: What it did, in a few words.
+    """
+
+    revision: int
+    change_id: str
+    author: str = ""
+    summary: str = ""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ConfigurationDocument:
     """The configuration at one revision.
@@ -44,6 +62,7 @@
     :param author: Who made the change.
     :param profiles: Profiles and tombstones, by name.
     :param marks: Marks on VMs, by name.
+    :param recent: The latest changes, oldest first.
     """
 
     revision: int
@@ -51,3 +70,4 @@
     author: str = ""
     profiles: tuple[ProfileRecord, ...] = ()
     marks: tuple[LeavingMark, ...] = ()
+    recent: tuple[ChangeNote, ...] = ()
--- a/packages/bluebellbay/bluebellbay/protocol/peer.py
+++ b/packages/bluebellbay/bluebellbay/protocol/peer.py
@@ -13,9 +13,11 @@
     """A configuration, sent on change and when a peer is found behind.
 
     :param document: The sender's configuration.
+    :param confirmed_age_s: As in a digest.
     """
 
     document: ConfigurationDocument
+    confirmed_age_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -26,11 +28,13 @@
     :param confirmed_age_s: Seconds since the sender, or a peer that told
         it, last saw that revision in the store.
     :param wants_reply: Whether the receiver should send its own digest.
+    :param change_id: Change id of that revision.
     """
 
     revision: int
     confirmed_age_s: float | None = None
     wants_reply: bool = False
+    change_id: str = ""
 
 
 PeerMessage = ConfigurationPush | ConfigurationDigest
--- a/packages/bluebellbay/bluebellbay/state/configuration.py
+++ b/packages/bluebellbay/bluebellbay/state/configuration.py
@@ -26,6 +26,7 @@
         if document.revision <= self.revision:
             return False
         self.document = document
+        self.confirmed_at = None
         self._profiles = {
             record.name: record.profile
             for record in document.profiles
@@ -33,6 +34,14 @@
         }
         return True
 
+    def confirm(self, at: float) -> None:
+        """Note that the revision in force was seen in the store.
+
+        :param at: Time in seconds when it was seen.
+        """
+        if self.confirmed_at is None or at > self.confirmed_at:
+            self.confirmed_at = at
+
     def find_profile(self, name: str) -> Profile | None:
         """Look a profile up.
 
--- a/packages/bluebellbay/bluebellbay/state/fleet.py
+++ b/packages/bluebellbay/bluebellbay/state/fleet.py
@@ -63,3 +63,11 @@
         return tuple(
             peer for peer in self.peers.values() if peer.status not in gone
         )
+
+    def list_domain_peers(self) -> tuple[PeerRecord, ...]:
+        """List the reachable peers of this node's failure domain."""
+        return tuple(
+            peer
+            for peer in self.list_reachable()
+            if peer.failure_domain == self.node.failure_domain
+        )
