--- a/packages/bluebellbay/bluebellbay/coordination/core.py
+++ b/packages/bluebellbay/bluebellbay/coordination/core.py
@@ -4,6 +4,8 @@
 import random
 
 from bluebellbay.coordination.claim import ClaimPart
+from bluebellbay.coordination.configuration import ConfigurationPart
+from bluebellbay.coordination.membership import MembershipPart
 from bluebellbay.coordination.part import Part
 from bluebellbay.coordination.query import QueryPart
 from bluebellbay.coordination.server import ServerPart
@@ -74,6 +76,8 @@
 def list_parts() -> tuple[type[Part], ...]:
     """List the parts of a whole node, in the order they are told events."""
     return (
+        ConfigurationPart,
+        MembershipPart,
         ServerPart,
         QueryPart,
         ClaimPart,
