Give each process of a test run an IP number of its own

Cause: in a trial an entry VM's free port, found before 214 backend servers bound theirs, went to one of those; its health answered 404 pages and the demo waited 60 s in vain. Ruled out: a fault of the daemon; the same trial answered every query in two further runs. Conclusion: processes listen on loopback numbers made from the process id, from which no connection leaves, so that a port also stays free over a restart.

--- a/packages/standins/bluebellbay_standins/backend_host.py
+++ b/packages/standins/bluebellbay_standins/backend_host.py
@@ -29,14 +29,14 @@
     :param name: Name of its VM.
     :param index: Index that it serves.
     :param service: Service that it belongs to.
-    :param address: ``host:port`` to serve on; port 0 for any.
+    :param address: ``host:port`` to serve on; empty for any port.
     :param behaviour: What it is told to do at first.
     """
 
     name: str
     index: str
     service: str
-    address: str = "127.0.0.1:0"
+    address: str = ""
     behaviour: BackendBehaviour = dataclasses.field(
         default_factory=BackendBehaviour
     )
--- a/packages/standins/bluebellbay_standins/cluster.py
+++ b/packages/standins/bluebellbay_standins/cluster.py
@@ -23,6 +23,7 @@
 from bluebellbay_standins.process import DaemonProcess
 from bluebellbay_standins.process import find_address
 from bluebellbay_standins.process import HostProcess
+from bluebellbay_standins.process import name_host
 
 STORE_LINK = "store"
 VM_LIST_LINK = "vm-list"
@@ -44,6 +45,15 @@
     peer_address: str
 
 
+def _place_entry(number: int, domain: str, host: str) -> EntryPlace:
+    return EntryPlace(
+        name=f"entry-{number}",
+        failure_domain=domain,
+        address=find_address(host),
+        peer_address=find_address(host),
+    )
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ClusterShape:
     """What a cluster is made of.
@@ -78,13 +88,9 @@
         self.places: tuple[ServerPlace, ...] = tuple(
             place for fleet in shape.fleets for place in place_servers(fleet)
         )
+        self._hosts = (name_host(number) for number in range(1, 255))
         self.entries = tuple(
-            EntryPlace(
-                name=f"entry-{number}",
-                failure_domain=domain,
-                address=find_address(),
-                peer_address=find_address(),
-            )
+            _place_entry(number, domain, next(self._hosts))
             for number, domain in enumerate(shape.entry_domains, start=1)
         )
         self.daemons: dict[str, DaemonProcess] = {}
@@ -280,7 +286,11 @@
         return HostSpec(store=StoreSpec(journal=str(journal)))
 
     def _prepare_host(self, name: str, spec: HostSpec) -> HostProcess:
-        host = HostProcess(name=name, spec=spec, folder=self._folder)
+        host = HostProcess(
+            name=name,
+            spec=dataclasses.replace(spec, host=next(self._hosts)),
+            folder=self._folder,
+        )
         self._stack.callback(host.child.kill)
         return host
 
--- a/packages/standins/bluebellbay_standins/forwarder.py
+++ b/packages/standins/bluebellbay_standins/forwarder.py
@@ -39,12 +39,12 @@
 
     :param name: Name of the link.
     :param target: ``host:port`` that it leads to.
-    :param address: ``host:port`` to listen on; port 0 for any.
+    :param address: ``host:port`` to listen on; empty for any port.
     """
 
     name: str
     target: str
-    address: str = "127.0.0.1:0"
+    address: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/standins/bluebellbay_standins/main.py
+++ b/packages/standins/bluebellbay_standins/main.py
@@ -27,19 +27,17 @@
 from bluebellbay_standins.vm_list import VmListServer
 from bluebellbay_standins.vm_list import VmListView
 
-ANY_PORT = "127.0.0.1:0"
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class StoreSpec:
     """The store to host.
 
-    :param address: ``host:port`` to serve on; port 0 for any.
+    :param address: ``host:port`` to serve on; empty for any port.
     :param behaviour: What it is told to do at first.
     :param journal: File that keeps the keys over a restart; empty for none.
     """
 
-    address: str = ANY_PORT
+    address: str = ""
     behaviour: StoreBehaviour = dataclasses.field(
         default_factory=StoreBehaviour
     )
@@ -50,12 +48,12 @@
 class VmListSpec:
     """The list of VMs to host.
 
-    :param address: ``host:port`` to serve on; port 0 for any.
+    :param address: ``host:port`` to serve on; empty for any port.
     :param behaviour: What it is told to do at first.
     :param views: Names of views, each served on a port of its own.
     """
 
-    address: str = ANY_PORT
+    address: str = ""
     behaviour: VmListBehaviour = dataclasses.field(
         default_factory=VmListBehaviour
     )
@@ -73,15 +71,17 @@
     :param control: ``host:port`` of the backend servers' control.
     :param link_control: ``host:port`` of the links' control.
     :param seed: Seed of the backend servers' running times.
+    :param host: IP number to listen on where no address is given.
     """
 
     store: StoreSpec | None = None
     vm_list: VmListSpec | None = None
     backends: tuple[BackendSpec, ...] = ()
     links: tuple[LinkSpec, ...] = ()
-    control: str = ANY_PORT
-    link_control: str = ANY_PORT
+    control: str = ""
+    link_control: str = ""
     seed: int = 1
+    host: str = "127.0.0.1"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -106,18 +106,6 @@
     link_control: str = ""
 
 
-def serve(reactor: Reactor, address: str, app: Klein) -> str:
-    """Serve an application.
-
-    :param reactor: Opens the port.
-    :param address: ``host:port``; port 0 for any.
-    :param app: The application.
-    :returns: The address got.
-    """
-    site = Site(app.resource())
-    return format_address(listen(reactor, address, site))
-
-
 def open_host(spec: HostSpec, reactor: Reactor) -> HostReport:
     """Start everything that one process hosts.
 
@@ -125,53 +113,69 @@
     :param reactor: Runs it.
     :returns: The addresses got.
     """
+    opener = _Opener(host=spec.host, reactor=reactor)
     report = HostReport()
     if spec.store is not None:
-        report = _open_store(spec.store, reactor, report)
+        report = opener.open_store(spec.store, report)
     if spec.vm_list is not None:
-        report = _open_vm_list(spec.vm_list, reactor, report)
+        report = opener.open_vm_list(spec.vm_list, report)
     if spec.backends:
-        host = BackendHost(
-            specs=spec.backends, seed=spec.seed, reactor=reactor
+        report = opener.open_backends(spec, report)
+    if spec.links:
+        report = opener.open_links(spec, report)
+    return report
+
+
+class _Opener:
+    def __init__(self, *, host: str, reactor: Reactor) -> None:
+        self._any_port = f"{host}:0"
+        self._reactor = reactor
+
+    def open_store(self, spec: StoreSpec, report: HostReport) -> HostReport:
+        journal = pathlib.Path(spec.journal) if spec.journal else None
+        server = StoreServer(
+            clock=self._reactor, behaviour=spec.behaviour, journal=journal
+        )
+        address = self._serve(spec.address, server.app)
+        return dataclasses.replace(report, store=address)
+
+    def open_vm_list(self, spec: VmListSpec, report: HostReport) -> HostReport:
+        server = VmListServer(clock=self._reactor, behaviour=spec.behaviour)
+        views = {
+            name: self._serve("", VmListView(server=server, view=name).app)
+            for name in spec.views
+        }
+        address = self._serve(spec.address, server.app)
+        return dataclasses.replace(report, vm_list=address, views=views)
+
+    def open_backends(self, spec: HostSpec, report: HostReport) -> HostReport:
+        specs = tuple(
+            dataclasses.replace(item, address=item.address or self._any_port)
+            for item in spec.backends
         )
-        report = dataclasses.replace(
+        host = BackendHost(specs=specs, seed=spec.seed, reactor=self._reactor)
+        return dataclasses.replace(
             report,
             backends=host.open(),
-            control=serve(reactor, spec.control, host.app),
+            control=self._serve(spec.control, host.app),
         )
-    if spec.links:
-        forwarder = Forwarder(specs=spec.links, reactor=reactor)
-        report = dataclasses.replace(
+
+    def open_links(self, spec: HostSpec, report: HostReport) -> HostReport:
+        specs = tuple(
+            dataclasses.replace(item, address=item.address or self._any_port)
+            for item in spec.links
+        )
+        forwarder = Forwarder(specs=specs, reactor=self._reactor)
+        return dataclasses.replace(
             report,
             links=forwarder.open(),
-            link_control=serve(reactor, spec.link_control, forwarder.app),
+            link_control=self._serve(spec.link_control, forwarder.app),
         )
-    return report
 
-
-def _open_store(
-    spec: StoreSpec, reactor: Reactor, report: HostReport
-) -> HostReport:
-    journal = pathlib.Path(spec.journal) if spec.journal else None
-    server = StoreServer(
-        clock=reactor, behaviour=spec.behaviour, journal=journal
-    )
-    address = serve(reactor, spec.address, server.app)
-    return dataclasses.replace(report, store=address)
-
-
-def _open_vm_list(
-    spec: VmListSpec, reactor: Reactor, report: HostReport
-) -> HostReport:
-    server = VmListServer(clock=reactor, behaviour=spec.behaviour)
-    views = {
-        name: serve(
-            reactor, ANY_PORT, VmListView(server=server, view=name).app
-        )
-        for name in spec.views
-    }
-    address = serve(reactor, spec.address, server.app)
-    return dataclasses.replace(report, vm_list=address, views=views)
+    def _serve(self, address: str, app: Klein) -> str:
+        site = Site(app.resource())
+        port = listen(self._reactor, address or self._any_port, site)
+        return format_address(port)
 
 
 def load_spec(path: pathlib.Path) -> HostSpec:
--- a/packages/standins/bluebellbay_standins/process.py
+++ b/packages/standins/bluebellbay_standins/process.py
@@ -4,6 +4,7 @@
 import ctypes
 import dataclasses
 import json
+import os
 import pathlib
 import signal
 import socket
@@ -27,7 +28,20 @@
 END_TIMEOUT_S = 30.0
 
 
-def find_address(host: str = "127.0.0.1") -> str:
+def name_host(number: int) -> str:
+    """Name a loopback IP number that no other test run listens on.
+
+    No connection leaves from it either, so that a port freed by a process
+    is still free when the process is started again.
+
+    :param number: Number of the process within this run, 1 to 254.
+    :returns: The IP number.
+    """
+    upper, lower = divmod(os.getpid(), 254)
+    return f"127.{1 + upper % 254}.{1 + lower}.{number}"
+
+
+def find_address(host: str) -> str:
     """Find an address that nothing listens on.
 
     :param host: IP number.
