--- a/packages/bluebellbay/bluebellbay/coordination/core.py
+++ b/packages/bluebellbay/bluebellbay/coordination/core.py
@@ -3,6 +3,7 @@
 import collections
 import random
 
+from bluebellbay.coordination.claim import ClaimPart
 from bluebellbay.coordination.part import Part
 from bluebellbay.coordination.query import QueryPart
 from bluebellbay.coordination.server import ServerPart
@@ -72,4 +73,9 @@
 
 def list_parts() -> tuple[type[Part], ...]:
     """List the parts of a whole node, in the order they are told events."""
-    return (ServerPart, QueryPart, ShutdownPart)
+    return (
+        ServerPart,
+        QueryPart,
+        ClaimPart,
+        ShutdownPart,
+    )
