Bring marks to the servers, and run the whole path

Cause: an operator's mark was in force everywhere and yet the server got 51 legs in the demo, as nothing carried marks to the table of servers. Ruled out: a late configuration (in force after 1.2 s). Conclusion: a mark is applied when a revision comes into force and when a server is added.

--- a/packages/bluebellbay/bluebellbay/coordination/server.py
+++ b/packages/bluebellbay/bluebellbay/coordination/server.py
@@ -10,6 +10,7 @@
 from bluebellbay.protocol.command import PollServer
 from bluebellbay.protocol.command import ReadVmList
 from bluebellbay.protocol.command import SetConnectionShare
+from bluebellbay.protocol.event import ConfigurationChanged
 from bluebellbay.protocol.event import Event
 from bluebellbay.protocol.event import ServerPolled
 from bluebellbay.protocol.event import TimePassed
@@ -34,7 +35,7 @@
     @property
     def handles(self) -> tuple[type, ...]:
         """The kinds of event that the part wants to be told."""
-        return (TimePassed, VmListRead, ServerPolled)
+        return (TimePassed, VmListRead, ServerPolled, ConfigurationChanged)
 
     def step(self, event: Event, now: float) -> Iterator[Step]:
         """Take one event.
@@ -49,6 +50,8 @@
             yield from self._read_list(event, now)
         elif isinstance(event, ServerPolled):
             self._read_health(event)
+        elif isinstance(event, ConfigurationChanged):
+            yield from self._read_marks()
 
     def next_wake(self) -> float | None:
         """Name the time at which ``TimePassed`` is due.
@@ -128,6 +131,7 @@
                 Field(name="share", value=share),
             ),
         )
+        yield from self._read_marks()
 
     def _mark_leaving(
         self, record: ServerRecord, source: str
@@ -142,6 +146,14 @@
             ),
         )
 
+    def _read_marks(self) -> Iterator[Step]:
+        document = self.state.configuration.document
+        for mark in document.marks if document else ():
+            record = self.state.servers.servers.get(mark.vm)
+            if record is None or record.leaving or not mark.leaving:
+                continue
+            yield from self._mark_leaving(record, "mark")
+
     def _drop_server(self, record: ServerRecord) -> Iterator[Step]:
         if not record.leaving:
             yield from self._mark_leaving(record, "absent")
--- a/packages/bluebellctl/bluebellctl/parser.py
+++ b/packages/bluebellctl/bluebellctl/parser.py
@@ -5,6 +5,7 @@
 from collections.abc import Coroutine
 import pathlib
 from typing import Any
+from typing import TypeAlias
 
 from bluebellbay.settings import Settings
 from bluebellctl.profile import delete_profile
@@ -17,7 +18,7 @@
 from bluebellctl.vm import mark_leaving
 from bluebellctl.vm import mark_returned
 
-Commands = argparse._SubParsersAction[argparse.ArgumentParser]
+Commands: TypeAlias = "argparse._SubParsersAction[argparse.ArgumentParser]"
 Run = Callable[[Settings, argparse.Namespace], Coroutine[Any, Any, Report]]
 
 SETTINGS_VARIABLE = "BLUEBELLBAY_SETTINGS"
