--- a/packages/bluebellbay/bluebellbay/coordination/core.py
+++ b/packages/bluebellbay/bluebellbay/coordination/core.py
@@ -3,6 +3,9 @@
 import collections
 import random
 
+from bluebellbay.coordination.claim import ClaimPart
+from bluebellbay.coordination.configuration import ConfigurationPart
+from bluebellbay.coordination.membership import MembershipPart
 from bluebellbay.coordination.part import Part
 from bluebellbay.coordination.query import QueryPart
 from bluebellbay.coordination.server import ServerPart
@@ -72,4 +75,11 @@
 
 def list_parts() -> tuple[type[Part], ...]:
     """List the parts of a whole node, in the order they are told events."""
-    return (ServerPart, QueryPart, ShutdownPart)
+    return (
+        ConfigurationPart,
+        MembershipPart,
+        ServerPart,
+        QueryPart,
+        ClaimPart,
+        ShutdownPart,
+    )
--- a/packages/bluebellbay/bluebellbay/coordination/server.py
+++ b/packages/bluebellbay/bluebellbay/coordination/server.py
@@ -1,6 +1,7 @@
 """Keeps the table of backend servers after the platform's list and health."""
 
 from collections.abc import Iterator
+import heapq
 
 from bluebellbay.coordination.part import Part
 from bluebellbay.coordination.part import Step
@@ -9,6 +10,7 @@
 from bluebellbay.protocol.command import PollServer
 from bluebellbay.protocol.command import ReadVmList
 from bluebellbay.protocol.command import SetConnectionShare
+from bluebellbay.protocol.event import ConfigurationChanged
 from bluebellbay.protocol.event import Event
 from bluebellbay.protocol.event import ServerPolled
 from bluebellbay.protocol.event import TimePassed
@@ -28,12 +30,12 @@
     def __init__(self, *, state: NodeState) -> None:
         super().__init__(state=state)
         self._list_due_at = 0.0
-        self._poll_due_at: dict[str, float] = {}
+        self._polls: list[tuple[float, str]] = []
 
     @property
     def handles(self) -> tuple[type, ...]:
         """The kinds of event that the part wants to be told."""
-        return (TimePassed, VmListRead, ServerPolled)
+        return (TimePassed, VmListRead, ServerPolled, ConfigurationChanged)
 
     def step(self, event: Event, now: float) -> Iterator[Step]:
         """Take one event.
@@ -48,13 +50,17 @@
             yield from self._read_list(event, now)
         elif isinstance(event, ServerPolled):
             self._read_health(event)
+        elif isinstance(event, ConfigurationChanged):
+            yield from self._read_marks()
 
     def next_wake(self) -> float | None:
         """Name the time at which ``TimePassed`` is due.
 
         :returns: Time in seconds.
         """
-        return min((self._list_due_at, *self._poll_due_at.values()))
+        if not self._polls:
+            return self._list_due_at
+        return min(self._list_due_at, self._polls[0][0])
 
     def _run_timers(self, now: float) -> Iterator[Step]:
         settings = self.state.settings
@@ -63,13 +69,13 @@
                 settings.platform.vm_list_poll_s
             )
             yield ReadVmList()
-        for name, due_at in self._poll_due_at.items():
-            if now < due_at:
+        while self._polls and self._polls[0][0] <= now:
+            _, name = heapq.heappop(self._polls)
+            record = self.state.servers.servers.get(name)
+            if record is None:
                 continue
-            self._poll_due_at[name] = now + self._jitter(
-                settings.policy.health_poll_s
-            )
-            record = self.state.servers.servers[name]
+            due_at = now + self._jitter(settings.policy.health_poll_s)
+            heapq.heappush(self._polls, (due_at, name))
             yield PollServer(server=name, address=record.address)
 
     def _jitter(self, period_s: float) -> float:
@@ -94,6 +100,7 @@
 
     def _add_server(self, entry: VmEntry, now: float) -> Iterator[Step]:
         index = self.state.servers.indexes[entry.index]
+        known = entry.name in self.state.servers.servers
         share = max(
             1, index.connection_limit // (len(self.state.fleet.peers) + 1)
         )
@@ -111,7 +118,8 @@
             connection_share=share,
         )
         self.state.servers.holdings[entry.index].remove_server(entry.name)
-        self._poll_due_at[entry.name] = now
+        if not known:
+            heapq.heappush(self._polls, (now, entry.name))
         yield SetConnectionShare(
             server=entry.name, address=entry.address, limit=share
         )
@@ -123,6 +131,7 @@
                 Field(name="share", value=share),
             ),
         )
+        yield from self._read_marks()
 
     def _mark_leaving(
         self, record: ServerRecord, source: str
@@ -137,13 +146,20 @@
             ),
         )
 
+    def _read_marks(self) -> Iterator[Step]:
+        document = self.state.configuration.document
+        for mark in document.marks if document else ():
+            record = self.state.servers.servers.get(mark.vm)
+            if record is None or record.leaving or not mark.leaving:
+                continue
+            yield from self._mark_leaving(record, "mark")
+
     def _drop_server(self, record: ServerRecord) -> Iterator[Step]:
         if not record.leaving:
             yield from self._mark_leaving(record, "absent")
         if record.outstanding > 0:
             return
         del self.state.servers.servers[record.name]
-        del self._poll_due_at[record.name]
         self.state.servers.holdings[record.index].remove_server(record.name)
         yield SetConnectionShare(
             server=record.name, address=record.address, limit=0
