Spend the extra load on the latest legs and know slow servers by a median

Cause: hedging at the 95th quantile used up the budget, so that the rare long pauses went unhedged; a slow server's estimate, an average that fades, drifted back into use; on a fresh node every server counted as new. Ruled out: an average that jumps up at once (one pause of a good server would move its load to the slow one).

--- a/packages/bluebellbay/bluebellbay/coordination/budget.py
+++ b/packages/bluebellbay/bluebellbay/coordination/budget.py
@@ -1,12 +1,11 @@
 """Keeps extra legs within a profile's share of the first ones."""
 
 import collections
+import math
 
 from bluebellbay.protocol.profile import Profile
 
 WINDOW_S = 10.0
-RESERVE_SHARE = 0.25
-RESERVE_FROM_LEGS = 4.0
 
 
 class _Window:
@@ -60,27 +59,32 @@
         """
         self._extra.add(count, now)
 
-    def take(self, share: float, now: float, *, urgent: bool) -> bool:
+    def take(self, share: float, now: float) -> bool:
         """Ask for one extra leg.
 
-        A part is kept back for urgent legs: those whose server has failed
-        or is silent far beyond its usual latency.
-
         :param share: Extra legs allowed, as a fraction of the first legs.
         :param now: Present time in seconds.
-        :param urgent: Whether the part kept back may be used.
         :returns: Whether the leg is granted; it then is counted.
         """
-        self._first.expire(now - self._first_s)
-        self._extra.expire(now - WINDOW_S)
-        allowed = share * self._first.total
-        if not urgent and allowed >= RESERVE_FROM_LEGS:
-            allowed *= 1 - RESERVE_SHARE
-        if self._extra.total + 1 > allowed:
+        if self.measure_use(share, now) > 1:
             return False
         self._extra.add(1, now)
         return True
 
+    def measure_use(self, share: float, now: float) -> float:
+        """State how far the budget would be used with one more extra leg.
+
+        :param share: Extra legs allowed, as a fraction of the first legs.
+        :param now: Present time in seconds.
+        :returns: Part of the extra legs allowed; above 1 if none is left.
+        """
+        self._first.expire(now - self._first_s)
+        self._extra.expire(now - WINDOW_S)
+        allowed = share * self._first.total
+        if allowed < 1:
+            return math.inf
+        return (self._extra.total + 1) / allowed
+
 
 class BudgetTable:
     """The budgets of all profiles, by name."""
--- a/packages/bluebellbay/bluebellbay/coordination/dispatch.py
+++ b/packages/bluebellbay/bluebellbay/coordination/dispatch.py
@@ -228,7 +228,7 @@
         leg.wanted = False
         waited_s = now - leg.sent_at
         if leg.usual_s and waited_s >= leg.usual_s:
-            self.latencies.get(leg.server).add(waited_s, now)
+            self.latencies.get(leg.server).add_unanswered(waited_s, now)
             if waited_s > SILENCE_FACTOR * leg.usual_s:
                 self.note_failure(leg, now)
         self.counters.cancelled += 1
--- a/packages/bluebellbay/bluebellbay/coordination/placement.py
+++ b/packages/bluebellbay/bluebellbay/coordination/placement.py
@@ -9,6 +9,7 @@
 
 HINT_WEIGHT = 0.2
 LEAST_START_SHARE = 0.05
+PROBE_S = 2.0
 UNKNOWN_LATENCY_S = 0.001
 
 
@@ -66,24 +67,43 @@
         if not self._by_load:
             return first
         second = choices[(place + 1 + int(rng.random() * (count - 1))) % count]
-        if not self._has_started(first, now):
-            return second
-        if not self._has_started(second, now):
-            return first
-        if self._rate(second, now) < self._rate(first, now):
+        newer = first if _start_of(first) > _start_of(second) else second
+        older = second if newer is first else first
+        if not self._has_started(newer, older, now):
+            return older
+        if self._rate(second) < self._rate(first):
+            first, second = second, first
+        if self._may_probe(second, now):
             return second
         return first
 
-    def _has_started(self, record: ServerRecord, now: float) -> bool:
-        started_at = max(record.added_at, record.ejected_until)
+    def _has_started(
+        self, newer: ServerRecord, older: ServerRecord, now: float
+    ) -> bool:
+        # Servers that are equally new share the load from the start.
+        started_at = _start_of(newer)
         age_s = now - started_at
-        if age_s >= self._slow_start_s:
+        if age_s >= self._slow_start_s or started_at <= _start_of(older):
             return True
         share = max(LEAST_START_SHARE, age_s / self._slow_start_s)
         return self._state.rng.random() < share
 
-    def _rate(self, record: ServerRecord, now: float) -> float:
-        latency_s = self._latencies.get(record.name).estimate(now)
+    def _may_probe(self, record: ServerRecord, now: float) -> bool:
+        # One leg now and then shows whether a slow server has recovered.
+        if record.outstanding:
+            return False
+        window = self._latencies.get(record.name)
+        if now - window.probed_at < PROBE_S:
+            return False
+        window.probed_at = now
+        return True
+
+    def _rate(self, record: ServerRecord) -> float:
+        latency_s = self._latencies.get(record.name).estimate_s
         waiting = 1 + record.outstanding / record.slots
         hint = 1 + HINT_WEIGHT * min(1.0, max(0.0, record.hinted_load))
         return max(latency_s, UNKNOWN_LATENCY_S) * waiting * hint
+
+
+def _start_of(record: ServerRecord) -> float:
+    return max(record.added_at, record.ejected_until)
--- a/packages/bluebellbay/bluebellbay/coordination/search.py
+++ b/packages/bluebellbay/bluebellbay/coordination/search.py
@@ -1,7 +1,7 @@
 """A repeatable request: many legs, one snapshot, one answer."""
 
 from bluebellbay.coordination.dispatch import Dispatcher
-from bluebellbay.coordination.hedge import SILENCE_FACTOR
+from bluebellbay.coordination.hedge import find_patience
 from bluebellbay.coordination.leg import Leg
 from bluebellbay.coordination.leg import Run
 from bluebellbay.coordination.leg import Task
@@ -149,13 +149,17 @@
         task = leg.task
         if task.legs[-1] is not leg:
             return
+        share = self.profile.extra_load
+        use = self._budget.measure_use(share, now)
+        due_at = leg.sent_at + leg.usual_s * find_patience(use)
+        if due_at > now:
+            self._dispatcher.timers.add(due_at, leg)
+            return
         record = self._choose(task, now)
         if record is None:
             return
-        waited_s = now - leg.sent_at
-        urgent = waited_s >= SILENCE_FACTOR * leg.usual_s
-        if not self._budget.take(self.profile.extra_load, now, urgent=urgent):
-            self._dispatcher.timers.add(now + waited_s, leg)
+        if not self._budget.take(share, now):
+            self._dispatcher.timers.add(now + leg.usual_s, leg)
             return
         self._dispatcher.counters.hedges += 1
         self._send(task, record, "Hedged a leg.", now)
@@ -232,7 +236,7 @@
             return
         if task.may_have_run:
             share = self.profile.extra_load
-            if not self._budget.take(share, now, urgent=True):
+            if not self._budget.take(share, now):
                 self._pause(task, now)
                 return
             self._dispatcher.counters.retries += 1
@@ -247,7 +251,7 @@
         record = dispatcher.chooser.choose(task.servers, task.tried, now)
         if record is None:
             return None
-        estimate_s = dispatcher.latencies.get(record.name).estimate(now)
+        estimate_s = dispatcher.latencies.get(record.name).estimate_s
         if self.deadline - now < LEAST_CHANCE * estimate_s:
             self._too_late = True
             return None
--- a/packages/bluebellbay/bluebellbay/state/latency.py
+++ b/packages/bluebellbay/bluebellbay/state/latency.py
@@ -1,32 +1,42 @@
 """Latencies of legs: an estimate and a window of samples for each server."""
 
 import collections
-import math
 
 WINDOW_SAMPLES = 128
 REFRESH_SAMPLES = 16
 LEAST_SAMPLES = 16
-ESTIMATE_WEIGHT = 0.2
-ESTIMATE_HALF_LIFE_S = 5.0
+RECENT_SAMPLES = 5
+UNANSWERED_FACTOR = 2.0
 
 
 class LatencyWindow:
     """The last latencies of one server.
 
-    The estimate is an average that forgets, and it fades while no sample
-    comes, so that a server once found slow is tried again.
+    The estimate is the median of the very last ones: a single pause of the
+    server doesn't move it, and a server that has become slow is known as
+    such after three legs.
     """
 
-    __slots__ = ("_estimate_s", "_fresh", "_sampled_at", "_samples", "_sorted")
+    __slots__ = (
+        "_fresh",
+        "_recent",
+        "_samples",
+        "_sorted",
+        "estimate_s",
+        "probed_at",
+    )
 
     def __init__(self) -> None:
+        self.estimate_s = 0.0
+        self.probed_at = 0.0
         self._samples: collections.deque[float] = collections.deque(
             maxlen=WINDOW_SAMPLES
         )
+        self._recent: collections.deque[float] = collections.deque(
+            maxlen=RECENT_SAMPLES
+        )
         self._sorted: list[float] = []
         self._fresh = 0
-        self._estimate_s = 0.0
-        self._sampled_at = 0.0
 
     @property
     def count(self) -> int:
@@ -34,32 +44,32 @@
         return len(self._samples)
 
     def add(self, seconds: float, now: float) -> None:
-        """Take a sample.
+        """Take the latency of a leg that was answered.
 
         :param seconds: The latency.
         :param now: Present time in seconds.
         """
-        former = self.estimate(now)
-        weight = ESTIMATE_WEIGHT if former > 0 else 1.0
-        self._estimate_s = former + weight * (seconds - former)
-        self._sampled_at = now
         self._samples.append(seconds)
+        self._recent.append(seconds)
+        self.estimate_s = sorted(self._recent)[len(self._recent) // 2]
+        self.probed_at = now
         self._fresh += 1
 
-    def estimate(self, now: float) -> float:
-        """Estimate the latency.
+    def add_unanswered(self, seconds: float, now: float) -> None:
+        """Take the time that a leg went unanswered until it was cancelled.
+
+        Its latency is longer by an unknown time. As with the timeouts of
+        TCP, twice the time waited is taken for it.
 
+        :param seconds: The time waited.
         :param now: Present time in seconds.
-        :returns: Seconds; 0 if nothing is known.
         """
-        age_s = now - self._sampled_at
-        if age_s <= 0 or not self._estimate_s:
-            return self._estimate_s
-        return self._estimate_s * math.exp2(-age_s / ESTIMATE_HALF_LIFE_S)
+        self.add(UNANSWERED_FACTOR * seconds, now)
 
     def forget_estimate(self) -> None:
         """Treat the latency as unknown."""
-        self._estimate_s = 0.0
+        self._recent.clear()
+        self.estimate_s = 0.0
 
     def quantile(self, share: float) -> float:
         """Give a quantile of the window, at most a few samples old.
