--- a/packages/bluebellbay/bluebellbay/coordination/dispatch.py
+++ b/packages/bluebellbay/bluebellbay/coordination/dispatch.py
@@ -4,6 +4,7 @@
 
 from bluebellbay.coordination.budget import BudgetTable
 from bluebellbay.coordination.ejection import EjectionPolicy
+from bluebellbay.coordination.gate import AdmissionGate
 from bluebellbay.coordination.hedge import HedgePolicy
 from bluebellbay.coordination.hedge import SILENCE_FACTOR
 from bluebellbay.coordination.leg import Leg
@@ -58,6 +59,10 @@
         self.polls = PollTracker()
         self.timers = TimerQueue()
         self.legs: dict[str, Leg] = {}
+        self.gates = {
+            name: AdmissionGate(state=state, index=name, timers=self.timers)
+            for name in state.servers.indexes
+        }
         self.finished: list[Run] = []
         self.waiting: dict[Run, None] = {}
         self._steps: list[Step] = []
@@ -137,6 +142,7 @@
         task.may_have_run += 1
         run.ledger.record_sent()
         record.outstanding += 1
+        self.gates[run.request.index].outstanding += 1
         request = run.request
         if self._logs:
             self.log(
@@ -176,6 +182,7 @@
         """
         del self.legs[leg.attempt]
         leg.record.outstanding -= 1
+        self.gates[leg.run.request.index].outstanding -= 1
         if not leg.wanted:
             return False
         leg.wanted = False
--- a/packages/bluebellbay/bluebellbay/coordination/query.py
+++ b/packages/bluebellbay/bluebellbay/coordination/query.py
@@ -6,6 +6,7 @@
 from bluebellbay.coordination.dispatch import count_answer
 from bluebellbay.coordination.dispatch import Dispatcher
 from bluebellbay.coordination.dispatch import PART
+from bluebellbay.coordination.gate import AdmissionGate
 from bluebellbay.coordination.leg import Leg
 from bluebellbay.coordination.leg import Run
 from bluebellbay.coordination.merge import fits_leg
@@ -102,6 +103,8 @@
                 self._close_admission()
         for timed in self._dispatcher.timers.pop_due(now):
             timed.wake(now)
+        for gate in self._dispatcher.gates.values():
+            self._pass_gate(gate, now)
         self._forget_finished()
         return self._dispatcher.drain()
 
@@ -128,7 +131,19 @@
         self._by_caller[event.caller] = run
         if request.request_id:
             self._by_request_id[request.request_id] = run
-        run.start(now)
+        if self._dispatcher.gates[request.index].admit(run, now):
+            run.start(now)
+
+    def _pass_gate(self, gate: AdmissionGate, now: float) -> None:
+        dispatcher = self._dispatcher
+        for shed in gate.pop_shed():
+            proof = shed.ledger.prove_nothing_ran().value
+            kind = NotRunKind.OVERLOADED
+            answer = dispatcher.build_not_run(shed, kind, proof, now)
+            dispatcher.finish(shed)
+            dispatcher.answer(shed, answer)
+        while (run := gate.pop_admitted(now)) is not None:
+            run.start(now)
 
     def _find_fault(
         self, request: QueryRequest, now: float
@@ -190,8 +205,12 @@
 
     def _take_gone(self, event: CallerGone, now: float) -> None:
         run = self._by_caller.get(event.caller)
-        if run is not None:
-            run.abandon(now)
+        if run is None:
+            return
+        if self._dispatcher.gates[run.request.index].remove(run):
+            self._dispatcher.finish(run)
+            return
+        run.abandon(now)
 
     def _take_reply(self, event: LegReplied, now: float) -> None:
         leg = self._find_leg(event.server, event.attempt)
@@ -284,6 +303,9 @@
                 )
             case RefusalReason.LEAVING:
                 leg.record.leaving = True
+            case RefusalReason.OVERLOADED:
+                dispatcher = self._dispatcher
+                dispatcher.gates[leg.run.request.index].note_overload(now)
 
     def _take_report(self, event: ServerPolled, now: float) -> None:
         dispatcher = self._dispatcher
--- a/packages/bluebellbay/bluebellbay/coordination/search.py
+++ b/packages/bluebellbay/bluebellbay/coordination/search.py
@@ -156,6 +156,10 @@
             self._dispatcher.timers.add(due_at, leg)
             return
         record = self._choose(task, now)
+        if record is None and task.spared:
+            task.tried -= task.spared
+            task.spared = set()
+            record = self._choose(task, now)
         if record is None:
             return
         if not self._budget.take(share, now):
