--- a/features/query_history.feature
+++ b/features/query_history.feature
@@ -3,6 +3,9 @@
   Scenario: An answer's rows, coverage and snapshot always agree
     Then over random histories every answer states what its rows came from
 
+  Scenario: Replies that overlap are merged once
+    Then for any replies of one snapshot no row counts twice
+
   Scenario: A query is never partial for a roll-out's sake
     Then over random roll-outs every query is answered whole
 
--- a/features/steps/query_history_steps.py
+++ b/features/steps/query_history_steps.py
@@ -10,6 +10,7 @@
 from query_world import make_rows
 from query_world import QueryWorld
 
+from bluebellbay.coordination.merge import Merger
 from bluebellbay.protocol.event import CallerGone
 from bluebellbay.protocol.event import LegRefused
 from bluebellbay.protocol.event import LegReplied
@@ -17,6 +18,7 @@
 from bluebellbay.protocol.key_range import KeyRange
 from bluebellbay.protocol.key_range import WHOLE_SPACE
 from bluebellbay.protocol.leg import Holding
+from bluebellbay.protocol.leg import LegReply
 from bluebellbay.protocol.profile import Profile
 from bluebellbay.state.coverage import subtract_ranges
 
@@ -58,6 +60,22 @@
 
 SERVERS = strategies.integers(0, SERVER_COUNT - 1)
 POINTS = strategies.integers(0, 15)
+FORGERIES = strategies.tuples(
+    strategies.just("forge"),
+    strategies.integers(0, 4),
+    strategies.sampled_from(
+        (
+            "again",
+            "foreign",
+            "other-server",
+            "inner",
+            "cut-short",
+            "beyond",
+            "other-snapshot",
+            "stray-row",
+        )
+    ),
+)
 ACTIONS = strategies.one_of(
     strategies.tuples(strategies.just("ask"), strategies.integers(0, 2)),
     strategies.tuples(strategies.just("ask"), strategies.integers(0, 2)),
@@ -85,22 +103,9 @@
     ),
     strategies.tuples(strategies.just("report"), SERVERS),
     strategies.tuples(strategies.just("gone"), strategies.integers(0, 5)),
-    strategies.tuples(
-        strategies.just("forge"),
-        strategies.integers(0, 30),
-        strategies.sampled_from(
-            (
-                "again",
-                "foreign",
-                "other-server",
-                "inner",
-                "cut-short",
-                "beyond",
-                "other-snapshot",
-                "stray-row",
-            )
-        ),
-    ),
+    FORGERIES,
+    FORGERIES,
+    FORGERIES,
 )
 
 
@@ -130,6 +135,9 @@
         return
     event = replies[-1 - place % len(replies)]
     reply = event.reply
+    if kind in ("foreign", "other-server", "inner"):
+        rows = make_rows("foreign", reply.start, reply.end)
+        reply = dataclasses.replace(reply, rows=rows)
     if kind == "foreign":
         event = dataclasses.replace(event, attempt=f"x{event.attempt}")
     elif kind == "other-server":
@@ -143,7 +151,9 @@
     elif kind == "beyond":
         reply = dataclasses.replace(reply, start=0, end=KEY_SPACE_END)
     elif kind == "other-snapshot":
-        reply = dataclasses.replace(reply, snapshot=reply.snapshot + 1)
+        snapshot = reply.snapshot + 1
+        rows = make_rows(snapshot, reply.start, reply.end)
+        reply = dataclasses.replace(reply, snapshot=snapshot, rows=rows)
     elif kind == "stray-row":
         stray = make_rows(reply.snapshot, 0, KEY_SPACE_END)
         reply = dataclasses.replace(reply, rows=stray)
@@ -260,6 +270,7 @@
     @hold_for_all(
         strategies.integers(0, 2**32),
         strategies.lists(ACTIONS, min_size=10, max_size=50),
+        examples=400,
     )
     def check(seed, actions):
         world = make_world(seed=seed)
@@ -282,6 +293,39 @@
         assert record.outstanding == 0, record
 
 
+@behave.then("for any replies of one snapshot no row counts twice")
+def check_overlaps(context):
+    @hold_for_all(
+        strategies.lists(
+            strategies.tuples(POINTS, strategies.integers(1, 16)), max_size=8
+        )
+    )
+    def check(places):
+        merger = Merger(snapshot=1)
+        for place, count in places:
+            held = hold(1, place, count)
+            merger.add(
+                LegReply(
+                    attempt="a",
+                    snapshot=1,
+                    start=held.start,
+                    end=held.end,
+                    rows=make_rows(1, held.start, held.end),
+                )
+            )
+        coverage = merger.measure()
+        covered = subtract_ranges(WHOLE_SPACE, coverage.missing)
+        size = sum(item.end - item.start for item in covered)
+        assert coverage.fraction == size / KEY_SPACE_END
+        assert merger.list_rows() == tuple(
+            row
+            for item in covered
+            for row in make_rows(1, item.start, item.end)
+        )
+
+    check()
+
+
 @behave.then("over random roll-outs every query is answered whole")
 def check_roll_outs(context):
     restarts = []
