Keep claims in buckets and collect them on the next write

Cause: a key for each claim can't be collected, as the store has no listing call and a node that is lost takes its list of keys with it. Ruled out: an index key for each node, which is a second write a claim. Before: claims stood for ever; one write a claim and one an outcome. After: claims of a bucket stand in one document; whoever writes it drops the claims whose expiry has passed by the clocks' difference and the retention, so collecting costs no call. What arrives while a write is in the air goes together in the next. A claim with an earlier expiry than a later attempt's is extended before that attempt is told of it.

--- a/features/claim.feature
+++ b/features/claim.feature
@@ -45,7 +45,7 @@
 
   Scenario: An answer of the store after the deadline grants nothing
     Given a claim store and the claiming nodes a and b
-    When node a claims posting-1 and the store is silent
+    When node a claims posting-1 and the store holds writes
     And 2 seconds pass while node a is frozen
     And the store answers
     Then node a was told refused
--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -82,20 +82,26 @@
 def answer_all(context, way):
     """Let the store treat every waiting command in the way named."""
     for node in context.claiming.values():
-        while node.waiting and way != "is silent":
-            command = node.waiting.pop(0)
-            event = StoreFailed(
-                ticket=command.ticket, key=command.key, sent=False
-            )
-            if way != "is down":
-                event = context.claim_store.apply(command)
-            if way == "'s answer is lost":
-                event = StoreFailed(
-                    ticket=command.ticket, key=command.key, sent=True
-                )
-            node.step(event, context.claim_now)
-            if way == "'s answer is lost":
+        while node.waiting:
+            command = node.waiting[0]
+            if way == "holds writes" and isinstance(command, WriteKey):
                 break
+            node.waiting.pop(0)
+            node.step(answer_one(context, command, way), context.claim_now)
+            if way == "loses" and isinstance(command, WriteKey):
+                break
+
+
+def answer_one(context, command, way):
+    failure = StoreFailed(
+        ticket=command.ticket, key=command.key, sent=way == "loses"
+    )
+    if way == "is down":
+        return failure
+    answer = context.claim_store.apply(command)
+    if way == "loses" and isinstance(command, WriteKey):
+        return failure
+    return answer
 
 
 @behave.given("a claim store and the claiming nodes {first} and {second}")
@@ -117,7 +123,7 @@
 @behave.when("node {name} claims {request_id} and the store's answer is lost")
 def claim_and_lose(context, name, request_id):
     request_claim(context, name, request_id)
-    answer_all(context, "'s answer is lost")
+    answer_all(context, "loses")
 
 
 def request_claim(context, name, request_id):
--- a/packages/bluebellbay/bluebellbay/coordination/claim.py
+++ b/packages/bluebellbay/bluebellbay/coordination/claim.py
@@ -1,24 +1,23 @@
 """Claims: a request that is not repeatable is sent at most once."""
 
-from collections.abc import Iterator
-import dataclasses
+from collections.abc import Iterable
+from typing import ClassVar
 from typing import Final
 
-from expression import Result
-from sortedcontainers import SortedSet
-
+from bluebellbay.coordination.claim_bucket import BucketWriter
+from bluebellbay.coordination.claim_bucket import StoreEvent
 from bluebellbay.coordination.claim_life import ClaimAttempt
-from bluebellbay.coordination.claim_life import ClaimLife
-from bluebellbay.coordination.claim_life import ClaimMachine
-from bluebellbay.coordination.claim_life import TICKET_PREFIX
 from bluebellbay.coordination.part import Part
 from bluebellbay.coordination.part import Step
+from bluebellbay.coordination.timer import TimerQueue
 from bluebellbay.protocol.answer import Answer
 from bluebellbay.protocol.claim import Claim
-from bluebellbay.protocol.claim import decode_claim
+from bluebellbay.protocol.claim import CLAIM_BUCKETS
+from bluebellbay.protocol.claim import name_bucket_key
 from bluebellbay.protocol.codec import encode_json
 from bluebellbay.protocol.error import Outcome
 from bluebellbay.protocol.event import ClaimFinished
+from bluebellbay.protocol.event import ClaimHeld
 from bluebellbay.protocol.event import ClaimRefused
 from bluebellbay.protocol.event import ClaimRequested
 from bluebellbay.protocol.event import Event
@@ -30,53 +29,33 @@
 from bluebellbay.state.node import NodeState
 
 TOKEN_BITS: Final = 128
-MAX_OUTCOME_BYTES: Final = 65_536
-
-StoreEvent = KeyRead | KeyWritten | KeyConflict | StoreFailed
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _Entry:
-    """One attempt under way here, with its time limits.
-
-    :param life: Its state machine.
-    :param attempt: What it knows.
-    :param deadline: Time in seconds until which it may be granted.
-    :param useful_until: Time in seconds after which no attempt at the
-        request is accepted anywhere.
-    :param resume_at: Time in seconds at which its pause ends, if it pauses.
-    :param wake_at: Time in seconds at which its next timer is due.
-    """
-
-    life: ClaimLife
-    attempt: ClaimAttempt
-    deadline: float
-    useful_until: float
-    resume_at: float | None = None
-    wake_at: float = 0.0
-
-    def find_next_timer(self) -> float:
-        """Find the time in seconds at which the next timer is due."""
-        limit = self.deadline if self.attempt.waiting else self.useful_until
-        if self.resume_at is None:
-            return limit
-        return min(limit, self.resume_at)
+MAX_OUTCOME_BYTES: Final = 4096
 
 
 class ClaimPart(Part):
     """Claims requests in the store before they are sent.
 
-    A claim is created by compare-and-swap. A lost answer of the store is
-    settled by reading back, and a claim that was refused is never granted
-    later. The outcome is recorded after the answer, not before it.
+    A claim is created by compare-and-swap on its bucket. A lost answer of
+    the store is settled by reading back, and a claim that was refused is
+    never granted later. The outcome is recorded after the answer, not
+    before it.
+
+    :param state: The node's shared state.
     """
 
+    buckets: ClassVar[int] = CLAIM_BUCKETS
+    fresh_s: ClassVar[float] = 0.0
+    record_delay_s: ClassVar[float] = 0.0
+
     def __init__(self, *, state: NodeState) -> None:
         super().__init__(state=state)
-        self._count = 0
-        self._entries: dict[int, _Entry] = {}
-        self._by_request: dict[str, int] = {}
-        self._wakes: SortedSet[tuple[float, int]] = SortedSet()
+        limits = state.settings.limits
+        self._skew_s = limits.clock_skew_s
+        self._keep_s = limits.clock_skew_s + limits.claim_retention_s
+        self._steps: list[Step] = []
+        self._timers = TimerQueue()
+        self._attempts: dict[str, ClaimAttempt] = {}
+        self._buckets: dict[str, BucketWriter] = {}
 
     @property
     def handles(self) -> tuple[type, ...]:
@@ -96,9 +75,9 @@
 
         :returns: Time in seconds, or none if no timer is set.
         """
-        return self._wakes[0][0] if self._wakes else None
+        return self._timers.next_time()
 
-    def step(self, event: Event, now: float) -> Iterator[Step]:
+    def step(self, event: Event, now: float) -> Iterable[Step]:
         """Take one event.
 
         Time limits come first: an answer of the store that is late, or was
@@ -108,156 +87,83 @@
         :param now: Present time in seconds, Unix time.
         :returns: Commands and internal events, in order.
         """
-        yield from self._run_timers(now)
+        for timed in self._timers.pop_due(now):
+            timed.wake(now)
         match event:
             case ClaimRequested():
-                yield from self._request(event, now)
+                self._request(event, now)
             case ClaimFinished():
-                yield from self._finish(event, now)
+                self._finish(event, now)
             case KeyRead() | KeyWritten() | KeyConflict() | StoreFailed():
-                yield from self._take_store_event(event, now)
+                self._take_store_event(event, now)
+        return self._drain()
 
-    def _request(self, event: ClaimRequested, now: float) -> Iterator[Step]:
+    def _request(self, event: ClaimRequested, now: float) -> None:
         deadline = min(event.deadline, event.expires_at)
         if now >= deadline:
-            yield ClaimRefused(request_id=event.request_id)
+            self._steps.append(ClaimRefused(request_id=event.request_id))
             return
-        attempt = self._build_attempt(event)
-        skew_s = self.state.settings.limits.clock_skew_s
-        entry = _Entry(
-            life=ClaimMachine(attempt),
-            attempt=attempt,
-            deadline=deadline,
-            useful_until=event.expires_at + skew_s,
-        )
-        self._entries[attempt.number] = entry
-        self._by_request[event.request_id] = attempt.number
-        entry.life.start()
-        yield from self._settle(entry, now)
-
-    def _build_attempt(self, event: ClaimRequested) -> ClaimAttempt:
-        self._count += 1
         token = f"{self.state.rng.getrandbits(TOKEN_BITS):032x}"
         claim = Claim(
             request_id=event.request_id,
             token=token,
             expires_at=event.expires_at,
         )
-        return ClaimAttempt(number=self._count, claim=claim)
-
-    def _finish(self, event: ClaimFinished, now: float) -> Iterator[Step]:
-        entry = self._entries.get(self._by_request.get(event.request_id, 0))
-        if entry is None or not entry.attempt.granted:
-            return
-        entry.attempt.granted = False
-        final = _finalise(entry.attempt.claim, event.answer)
-        if final is None:
-            self._drop(entry)
-            return
-        entry.life.finish(final)
-        yield from self._settle(entry, now)
+        attempt = ClaimAttempt(
+            claim=claim,
+            deadline=deadline,
+            useful_until=event.expires_at + self._skew_s,
+            steps=self._steps,
+        )
+        self._timers.add(deadline, attempt)
+        self._attempts[event.request_id] = attempt
+        self._find_bucket(event.request_id).add(attempt, now)
 
-    def _take_store_event(
-        self, event: StoreEvent, now: float
-    ) -> Iterator[Step]:
-        entry = self._entries.get(_read_ticket(event.ticket))
-        if entry is None or entry.attempt.ticket != event.ticket:
+    def _finish(self, event: ClaimFinished, now: float) -> None:
+        attempt = self._attempts.pop(event.request_id, None)
+        if attempt is None or not attempt.granted:
             return
-        entry.attempt.ticket = ""
-        match event:
-            case KeyWritten():
-                _tell_found(entry, entry.attempt.written, event.version)
-            case KeyRead() | KeyConflict():
-                _tell_value(entry, event.value, event.version)
-            case StoreFailed():
-                _tell_failed(entry, event)
-        yield from self._settle(entry, now)
-
-    def _run_timers(self, now: float) -> Iterator[Step]:
-        while self._wakes and self._wakes[0][0] <= now:
-            _, number = self._wakes[0]
-            yield from self._run_entry_timers(self._entries[number], now)
-
-    def _run_entry_timers(self, entry: _Entry, now: float) -> Iterator[Step]:
-        if entry.attempt.waiting and now >= entry.deadline:
-            entry.life.give_up()
-        if now >= entry.useful_until:
-            entry.attempt.closed = True
-        elif entry.resume_at is not None and now >= entry.resume_at:
-            entry.resume_at = None
-            entry.life.resume()
-        yield from self._settle(entry, now)
-
-    def _settle(self, entry: _Entry, now: float) -> Iterator[Step]:
-        attempt = entry.attempt
-        yield from attempt.steps
-        attempt.steps.clear()
-        if attempt.closed:
-            self._drop(entry)
+        answer = event.answer
+        if answer.outcome is Outcome.NOT_RUN:
+            attempt.life.release()
+        elif _is_worth_recording(answer):
+            attempt.outcome = answer
+            attempt.due_at = now + self.record_delay_s
+            attempt.life.record()
+        else:
+            attempt.life.forget()
             return
-        if attempt.paused_s is not None:
-            entry.resume_at = now + attempt.paused_s
-            attempt.paused_s = None
-        self._wakes.discard((entry.wake_at, attempt.number))
-        entry.wake_at = entry.find_next_timer()
-        self._wakes.add((entry.wake_at, attempt.number))
-
-    def _drop(self, entry: _Entry) -> None:
-        number = entry.attempt.number
-        request_id = entry.attempt.claim.request_id
-        self._wakes.discard((entry.wake_at, number))
-        del self._entries[number]
-        if self._by_request.get(request_id) == number:
-            del self._by_request[request_id]
-
-
-def _read_ticket(ticket: str) -> int:
-    if not ticket.startswith(TICKET_PREFIX):
-        return 0
-    return int(ticket.removeprefix(TICKET_PREFIX).split(":")[0])
-
-
-def _finalise(claim: Claim, answer: Answer) -> Claim | None:
-    if answer.outcome is Outcome.NOT_RUN:
-        return dataclasses.replace(claim, released=True)
+        self._find_bucket(event.request_id).add(attempt, now)
+
+    def _take_store_event(self, event: StoreEvent, now: float) -> None:
+        bucket = self._buckets.get(event.key)
+        if bucket is not None:
+            bucket.take(event, now)
+
+    def _drain(self) -> tuple[Step, ...]:
+        steps = tuple(self._steps)
+        self._steps.clear()
+        for step in steps:
+            if isinstance(step, ClaimHeld | ClaimRefused):
+                self._attempts.pop(step.request_id, None)
+        return steps
+
+    def _find_bucket(self, request_id: str) -> BucketWriter:
+        key = name_bucket_key(request_id, self.buckets)
+        bucket = self._buckets.get(key)
+        if bucket is None:
+            bucket = self._buckets[key] = BucketWriter(
+                key=key,
+                keep_s=self._keep_s,
+                fresh_s=self.fresh_s,
+                rng=self.state.rng,
+                timers=self._timers,
+                steps=self._steps,
+            )
+        return bucket
+
+
+def _is_worth_recording(answer: Answer) -> bool:
     if answer.outcome is Outcome.UNKNOWN:
-        return None
-    if len(encode_json(answer)) > MAX_OUTCOME_BYTES:
-        return None
-    return dataclasses.replace(claim, outcome=answer)
-
-
-def _tell_failed(entry: _Entry, event: StoreFailed) -> None:
-    if not event.sent:
-        entry.attempt.take_back()
-    if entry.attempt.waiting or entry.attempt.exposed:
-        entry.life.lose()
-        return
-    entry.attempt.closed = True
-
-
-def _tell_value(entry: _Entry, value: bytes | None, version: int) -> None:
-    if value is None:
-        _tell_found(entry, None, version)
-        return
-    match decode_claim(value):
-        case Result(tag="ok", ok=claim):
-            _tell_found(entry, claim, version)
-        case Result():
-            entry.life.lose()
-
-
-def _tell_found(entry: _Entry, claim: Claim | None, version: int) -> None:
-    if claim is None:
-        entry.life.found_free(version)
-        return
-    if claim.token == entry.attempt.claim.token:
-        if claim.released or claim.outcome is not None:
-            entry.life.found_settled()
-            return
-        entry.life.found_own(version)
-        return
-    if claim.released:
-        entry.life.found_free(version)
-        return
-    entry.life.found_other(claim, version)
+        return False
+    return len(encode_json(answer)) <= MAX_OUTCOME_BYTES
--- a/packages/bluebellbay/bluebellbay/coordination/claim_life.py
+++ b/packages/bluebellbay/bluebellbay/coordination/claim_life.py
@@ -7,244 +7,299 @@
 import automat
 
 from bluebellbay.coordination.part import Step
+from bluebellbay.coordination.timer import Timed
+from bluebellbay.protocol.answer import Answer
 from bluebellbay.protocol.claim import Claim
-from bluebellbay.protocol.claim import encode_claim
-from bluebellbay.protocol.claim import name_claim_key
 from bluebellbay.protocol.command import Field
 from bluebellbay.protocol.command import LogDecision
-from bluebellbay.protocol.command import ReadKey
-from bluebellbay.protocol.command import WriteKey
 from bluebellbay.protocol.event import ClaimGranted
 from bluebellbay.protocol.event import ClaimHeld
 from bluebellbay.protocol.event import ClaimRefused
 
-TICKET_PREFIX: Final = "claim:"
-FIRST_PAUSE_S: Final = 0.02
-LONGEST_PAUSE_S: Final = 5.0
-PAUSE_GROWTH: Final = 2.0
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class ClaimAttempt:
-    """What one attempt knows about its claim.
-
-    :param number: Number of the attempt on this node.
-    :param claim: The claim as this attempt wants it to stand.
-    :param calls: Commands sent to the store so far.
-    :param ticket: Ticket of the command in the air; empty for none.
-    :param written: The claim in the latest write.
-    :param version: The store's version of the claim once it was granted.
-    :param exposed: Whether a write may have taken effect.
-    :param exposed_before: The same before the latest command.
-    :param pause_s: Length of the next pause in seconds.
-    :param paused_s: Length of the pause just begun; none while not paused.
-    :param waiting: Whether the query part still waits.
-    :param granted: Whether the request may be sent, or was.
-    :param closed: Whether nothing is left to do.
-    :param steps: Commands and events to hand back, in order.
+PART: Final = "claim"
+
+
+class ClaimLife(Protocol):
+    """What can happen to an attempt's claim.
+
+    The ``find`` inputs tell what stands in the store.
     """
 
-    number: int
-    claim: Claim
-    calls: int = 0
-    ticket: str = ""
-    written: Claim | None = None
-    version: int = 0
-    exposed: bool = False
-    exposed_before: bool = False
-    pause_s: float = FIRST_PAUSE_S
-    paused_s: float | None = None
-    waiting: bool = True
-    granted: bool = False
-    closed: bool = False
-    steps: list[Step] = dataclasses.field(default_factory=list)
-
-    def write(self, claim: Claim, version: int) -> None:
-        """Write a claim over the version that stands."""
-        self.written = claim
-        self.exposed_before = self.exposed
-        self.exposed = True
-        self.steps.append(
-            WriteKey(
-                ticket=self._issue_ticket(),
-                key=name_claim_key(claim.request_id),
-                value=encode_claim(claim),
-                expected_version=version,
-            )
-        )
+    def find_none(self) -> None:
+        """No claim stands, and an earlier write may yet take effect."""
+
+    def find_none_for_good(self) -> None:
+        """No claim stands, and no earlier write can take effect."""
+
+    def find_own(self, claim: Claim) -> None:
+        """The claim of this attempt stands, without an outcome."""
+
+    def find_recorded(self) -> None:
+        """The claim of this attempt stands, with its outcome."""
 
-    def read(self) -> None:
-        """Read what stands."""
-        self.exposed_before = self.exposed
-        key = name_claim_key(self.claim.request_id)
-        self.steps.append(ReadKey(ticket=self._issue_ticket(), key=key))
+    def find_shorter(self, claim: Claim) -> None:
+        """Another's claim stands, which expires before this attempt."""
 
-    def take_back(self) -> None:
-        """Note that the latest command positively had no effect."""
-        self.exposed = self.exposed_before
+    def find_other(self, claim: Claim) -> None:
+        """Another's claim stands."""
+
+    def give_up(self) -> None:
+        """The time to claim is over."""
+
+    def record(self) -> None:
+        """The request has an outcome that is worth recording."""
+
+    def release(self) -> None:
+        """The request ran nowhere and will not."""
+
+    def forget(self) -> None:
+        """The record no longer serves anyone."""
+
+
+class ClaimAttempt(Timed):
+    """One attempt of this node at a request, and what it wants written.
+
+    :param claim: The claim that it wants to hold.
+    :param deadline: Time in seconds until which it may be granted.
+    :param useful_until: Time in seconds after which no attempt at the
+        request is accepted anywhere.
+    :param steps: Where its commands and events are collected.
+    """
+
+    __slots__ = (
+        "change",
+        "claim",
+        "closed",
+        "deadline",
+        "due_at",
+        "exposed_at",
+        "granted",
+        "life",
+        "outcome",
+        "steps",
+        "useful_until",
+        "waiting",
+    )
 
-    def back_off(self) -> None:
-        """Pause before the store is asked again, longer each time."""
-        self.paused_s = self.pause_s
-        self.pause_s = min(LONGEST_PAUSE_S, self.pause_s * PAUSE_GROWTH)
+    def __init__(
+        self,
+        *,
+        claim: Claim,
+        deadline: float,
+        useful_until: float,
+        steps: list[Step],
+    ) -> None:
+        self.claim = claim
+        self.deadline = deadline
+        self.useful_until = useful_until
+        self.steps = steps
+        self.outcome: Answer | None = None
+        self.change: ClaimChange | None = None
+        self.due_at = 0.0
+        self.exposed_at: int | None = None
+        self.waiting = True
+        self.granted = False
+        self.closed = False
+        self.life = _build_life(self)
+
+    @property
+    def is_over(self) -> bool:
+        """Whether its timers no longer matter."""
+        return self.closed
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether it wants nothing of the store at present."""
+        return self.closed or self.granted
+
+    def wake(self, now: float) -> None:
+        """Do what is due.
+
+        :param now: Present time in seconds.
+        """
+        if self.waiting and now >= self.deadline:
+            self.life.give_up()
+        if not self.is_idle and now > self.useful_until:
+            self.life.forget()
+
+    def review(self, standing: Claim | None, version: int) -> None:
+        """Decide by what stands in the store.
+
+        :param standing: The request's claim there, if any.
+        :param version: The store's version that it was seen at.
+        """
+        self.change = None
+        if standing is None:
+            self._review_none(version)
+        elif standing.token != self.claim.token:
+            self._review_other(standing)
+        elif standing.outcome is None:
+            self.life.find_own(standing)
+        else:
+            self.life.find_recorded()
+
+    def _review_none(self, version: int) -> None:
+        if self.exposed_at is not None and version > self.exposed_at:
+            self.life.find_none_for_good()
+            return
+        self.life.find_none()
+
+    def _review_other(self, standing: Claim) -> None:
+        if standing.expires_at < self.claim.expires_at:
+            self.life.find_shorter(standing)
+            return
+        self.life.find_other(standing)
 
     def log(self, sentence: str, *fields: Field) -> None:
-        """Log a decision about this attempt."""
+        """Log a decision about this attempt.
+
+        :param sentence: One short sentence.
+        :param fields: Values behind the decision.
+        """
         self.steps.append(
             LogDecision(
-                part="claim",
+                part=PART,
                 sentence=sentence,
                 request_id=self.claim.request_id,
                 fields=fields,
             )
         )
 
-    def _issue_ticket(self) -> str:
-        self.calls += 1
-        self.ticket = f"{TICKET_PREFIX}{self.number}:{self.calls}"
-        return self.ticket
-
 
-class ClaimLife(Protocol):
-    """What can happen to an attempt's claim.
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PutClaim:
+    """A claim is to stand in place of what stood for its request.
 
-    The four ``found`` inputs tell what stands in the store, whether by a
-    write that took effect, a conflict, or a read.
+    :param claim: The claim.
     """
 
-    def start(self) -> None:
-        """Begin to claim."""
-
-    def found_free(self, version: int) -> None:
-        """No claim stands, or a released one of another attempt."""
+    claim: Claim
 
-    def found_own(self, version: int) -> None:
-        """The claim of this attempt stands, without an outcome."""
+    def apply(self, claims: dict[str, Claim]) -> None:
+        """Make the change.
 
-    def found_settled(self) -> None:
-        """The claim of this attempt stands, with outcome or released."""
+        :param claims: The claims of a bucket by request id.
+        """
+        claims[self.claim.request_id] = self.claim
 
-    def found_other(self, claim: Claim, version: int) -> None:
-        """The claim of another attempt stands."""
 
-    def lose(self) -> None:
-        """The store could not be asked, or its answer was lost."""
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DropClaim:
+    """A claim is to stand no more, now or by a write still in the air.
 
-    def resume(self) -> None:
-        """The pause is over."""
+    :param claim: The claim.
+    """
 
-    def give_up(self) -> None:
-        """The time to claim is over."""
+    claim: Claim
 
-    def finish(self, final: Claim) -> None:
-        """The request has ended; the claim should stand as given."""
+    def apply(self, claims: dict[str, Claim]) -> None:
+        """Make the change.
 
+        :param claims: The claims of a bucket by request id.
+        """
+        standing = claims.get(self.claim.request_id)
+        if standing is not None and standing.token == self.claim.token:
+            del claims[self.claim.request_id]
 
-_builder = automat.TypeMachineBuilder(ClaimLife, ClaimAttempt)
 
-_new = _builder.state("new")
-_claiming = _builder.state("claiming")
-_pausing = _builder.state("pausing")
-_granted = _builder.state("granted")
-_recording = _builder.state("recording")
-_deferring = _builder.state("deferring")
-_closed = _builder.state("closed")
+ClaimChange = PutClaim | DropClaim
 
 
-@_new.upon(ClaimLife.start).to(_claiming)
-def _create(life: ClaimLife, attempt: ClaimAttempt) -> None:
-    attempt.write(attempt.claim, 0)
+def _take(life: ClaimLife, attempt: ClaimAttempt) -> None:
+    attempt.change = PutClaim(claim=attempt.claim)
 
 
-@_claiming.upon(ClaimLife.found_free).to(_claiming)
-def _take(life: ClaimLife, attempt: ClaimAttempt, version: int) -> None:
-    attempt.write(attempt.claim, version)
+def _extend(life: ClaimLife, attempt: ClaimAttempt, claim: Claim) -> None:
+    # The holder's claim must outlive every attempt that was told of it.
+    expires_at = attempt.claim.expires_at
+    longer = dataclasses.replace(claim, expires_at=expires_at)
+    attempt.change = PutClaim(claim=longer)
 
 
-@_claiming.upon(ClaimLife.found_own).to(_granted)
-def _grant(life: ClaimLife, attempt: ClaimAttempt, version: int) -> None:
-    attempt.version = version
+def _grant(life: ClaimLife, attempt: ClaimAttempt, claim: Claim) -> None:
     attempt.waiting = False
     attempt.granted = True
-    attempt.log("claim granted")
-    attempt.steps.append(ClaimGranted(request_id=attempt.claim.request_id))
+    attempt.log("Granted the claim.")
+    attempt.steps.append(ClaimGranted(request_id=claim.request_id))
 
 
-@_claiming.upon(ClaimLife.found_other).to(_closed)
-def _report_holder(
-    life: ClaimLife, attempt: ClaimAttempt, claim: Claim, version: int
-) -> None:
+def _report(life: ClaimLife, attempt: ClaimAttempt, claim: Claim) -> None:
     attempt.waiting = False
     attempt.closed = True
-    known = Field(name="known", value=claim.outcome is not None)
-    attempt.log("another attempt holds the claim", known)
+    known = Field(name="outcome_known", value=claim.outcome is not None)
+    attempt.log("Another attempt holds the claim.", known)
     attempt.steps.append(
         ClaimHeld(request_id=claim.request_id, outcome=claim.outcome)
     )
 
 
-@_claiming.upon(ClaimLife.lose).to(_pausing)
-def _pause(life: ClaimLife, attempt: ClaimAttempt) -> None:
-    attempt.back_off()
-
-
-@_pausing.upon(ClaimLife.resume).to(_claiming)
-def _read_back(life: ClaimLife, attempt: ClaimAttempt) -> None:
-    attempt.read()
-
-
-@_claiming.upon(ClaimLife.give_up).to(_recording)
 def _refuse(life: ClaimLife, attempt: ClaimAttempt) -> None:
     attempt.waiting = False
-    attempt.closed = not attempt.exposed
-    attempt.log("claim refused, store unavailable")
+    attempt.closed = attempt.exposed_at is None
+    attempt.log("Refused, as the store did not take the claim in time.")
     attempt.steps.append(ClaimRefused(request_id=attempt.claim.request_id))
-    attempt.claim = dataclasses.replace(attempt.claim, released=True)
 
 
-_pausing.upon(ClaimLife.give_up).to(_deferring)(_refuse)
+def _end_grant(life: ClaimLife, attempt: ClaimAttempt) -> None:
+    attempt.granted = False
+
+
+def _record(life: ClaimLife, attempt: ClaimAttempt, claim: Claim) -> None:
+    recorded = dataclasses.replace(claim, outcome=attempt.outcome)
+    attempt.change = PutClaim(claim=recorded)
+
 
+def _drop(life: ClaimLife, attempt: ClaimAttempt, claim: Claim) -> None:
+    attempt.change = DropClaim(claim=attempt.claim)
 
-@_granted.upon(ClaimLife.finish).to(_recording)
-def _record(life: ClaimLife, attempt: ClaimAttempt, final: Claim) -> None:
-    attempt.claim = final
-    attempt.write(final, attempt.version)
 
+def _fence(life: ClaimLife, attempt: ClaimAttempt) -> None:
+    # Any write moves the version, and so ends what is still in the air.
+    attempt.change = DropClaim(claim=attempt.claim)
 
-@_recording.upon(ClaimLife.found_own).to(_recording)
-def _write_final(life: ClaimLife, attempt: ClaimAttempt, version: int) -> None:
-    attempt.write(attempt.claim, version)
 
+def _close(life: ClaimLife, attempt: ClaimAttempt) -> None:
+    attempt.granted = False
+    attempt.closed = True
 
-@_recording.upon(ClaimLife.found_free).to(_recording)
-def _fence(life: ClaimLife, attempt: ClaimAttempt, version: int) -> None:
-    # A write that is still in the air would otherwise take effect later and
-    # hold a claim that nobody uses.
-    attempt.write(attempt.claim, version)
 
+def _close_lost(life: ClaimLife, attempt: ClaimAttempt, claim: Claim) -> None:
+    attempt.closed = True
 
-@_recording.upon(ClaimLife.lose).to(_deferring)
-def _defer(life: ClaimLife, attempt: ClaimAttempt) -> None:
-    attempt.back_off()
 
+def _make_builder() -> automat.TypeMachineBuilder[ClaimLife, ClaimAttempt]:
+    builder = automat.TypeMachineBuilder(ClaimLife, ClaimAttempt)
+    claiming = builder.state("claiming")
+    granted = builder.state("granted")
+    recording = builder.state("recording")
+    releasing = builder.state("releasing")
+    closed = builder.state("closed")
 
-@_deferring.upon(ClaimLife.resume).to(_recording)
-def _look_again(life: ClaimLife, attempt: ClaimAttempt) -> None:
-    attempt.read()
+    claiming.upon(ClaimLife.find_none).loop()(_take)
+    claiming.upon(ClaimLife.find_none_for_good).loop()(_take)
+    claiming.upon(ClaimLife.find_own).to(granted)(_grant)
+    claiming.upon(ClaimLife.find_shorter).loop()(_extend)
+    claiming.upon(ClaimLife.find_other).to(closed)(_report)
+    claiming.upon(ClaimLife.give_up).to(releasing)(_refuse)
 
+    granted.upon(ClaimLife.record).to(recording)(_end_grant)
+    granted.upon(ClaimLife.release).to(releasing)(_end_grant)
+    granted.upon(ClaimLife.forget).to(closed)(_close)
 
-@_recording.upon(ClaimLife.found_settled).to(_closed)
-def _close(life: ClaimLife, attempt: ClaimAttempt) -> None:
-    attempt.closed = True
-    attempt.log("claim settled")
+    recording.upon(ClaimLife.find_own).loop()(_record)
+    recording.upon(ClaimLife.find_recorded).to(closed)(_close)
+    recording.upon(ClaimLife.forget).to(closed)(_close)
 
+    releasing.upon(ClaimLife.find_none).loop()(_fence)
+    releasing.upon(ClaimLife.find_own).loop()(_drop)
+    releasing.upon(ClaimLife.forget).to(closed)(_close)
 
-@_recording.upon(ClaimLife.found_other).to(_closed)
-def _close_lost(
-    life: ClaimLife, attempt: ClaimAttempt, claim: Claim, version: int
-) -> None:
-    attempt.closed = True
-    attempt.log("claim passed to another attempt")
+    for state in (recording, releasing):
+        state.upon(ClaimLife.find_none_for_good).to(closed)(_close)
+        state.upon(ClaimLife.find_shorter).to(closed)(_close_lost)
+        state.upon(ClaimLife.find_other).to(closed)(_close_lost)
+    recording.upon(ClaimLife.find_none).to(closed)(_close)
+    return builder
 
 
-ClaimMachine = _builder.build()
+_build_life = _make_builder().build()
--- a/packages/bluebellbay/bluebellbay/protocol/claim.py
+++ b/packages/bluebellbay/bluebellbay/protocol/claim.py
@@ -12,6 +12,10 @@
 from bluebellbay.protocol.codec import encode_json
 
 CLAIM_KEY_PREFIX: Final = "claims/"
+MAX_BUCKET_BYTES: Final = 1_048_576
+# Part of the wire format: nodes that count differently would not see each
+# other's claims.
+CLAIM_BUCKETS: Final = 256
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -22,41 +26,50 @@
     :param token: Random token of the attempt that holds the claim.
     :param expires_at: Unix time in seconds after which no attempt at the
         request may start.
-    :param released: Whether the holder ran nothing and never will, so that
-        another attempt may take the claim.
     :param outcome: The answer that the holder gave, if recorded.
     """
 
     request_id: str
     token: str
     expires_at: float
-    released: bool = False
     outcome: Answer | None = None
 
 
-def name_claim_key(request_id: str) -> str:
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ClaimBucket:
+    """All claims of one key of the store.
+
+    :param claims: The claims, at most one of each request id.
+    """
+
+    claims: tuple[Claim, ...] = ()
+
+
+def name_bucket_key(request_id: str, buckets: int = CLAIM_BUCKETS) -> str:
     """Name the key of the store that holds a request's claim.
 
     :param request_id: The caller's request id.
+    :param buckets: Number of buckets.
     :returns: The key.
     """
-    digest = hashlib.sha256(request_id.encode()).hexdigest()
-    return CLAIM_KEY_PREFIX + digest
+    digest = hashlib.sha256(request_id.encode()).digest()
+    number = int.from_bytes(digest[:8]) % buckets
+    return f"{CLAIM_KEY_PREFIX}{buckets}/{number}"
 
 
-def encode_claim(claim: Claim) -> bytes:
-    """Encode a claim for the store.
+def encode_bucket(bucket: ClaimBucket) -> bytes:
+    """Encode a bucket for the store.
 
-    :param claim: The claim.
+    :param bucket: The bucket.
     :returns: The bytes.
     """
-    return encode_json(claim)
+    return encode_json(bucket)
 
 
-def decode_claim(data: bytes) -> Result[Claim, DecodeError]:
-    """Decode a claim read from the store.
+def decode_bucket(data: bytes) -> Result[ClaimBucket, DecodeError]:
+    """Decode a bucket read from the store.
 
     :param data: The bytes.
-    :returns: The claim, or why it could not be read.
+    :returns: The bucket, or why it could not be read.
     """
-    return decode_json(data, Claim)
+    return decode_json(data, ClaimBucket)
--- a/packages/bluebellbay/bluebellbay/settings.py
+++ b/packages/bluebellbay/bluebellbay/settings.py
@@ -144,6 +144,16 @@
             description="Latest expiry accepted, in seconds from now.",
         ),
     ] = 3600.0
+    claim_retention_s: Annotated[
+        float,
+        Field(
+            ge=0,
+            le=604800,
+            description="Seconds that a claim is kept after its expiry and "
+            "the clocks' difference, for callers that use a request id "
+            "again with a later expiry.",
+        ),
+    ] = 3600.0
 
 
 @pydantic.dataclasses.dataclass(frozen=True, kw_only=True, config=_CONFIG)
