--- a/packages/bluebellbay/bluebellbay/coordination/claim_bucket.py
+++ b/packages/bluebellbay/bluebellbay/coordination/claim_bucket.py
@@ -1,5 +1,6 @@
 """Writes the claims of one bucket, several in one compare-and-swap."""
 
+import math
 import random
 from typing import Final
 
@@ -25,6 +26,7 @@
 FIRST_PAUSE_S: Final = 0.01
 LONGEST_PAUSE_S: Final = 2.0
 PAUSE_GROWTH: Final = 2.0
+NEVER_S: Final = -math.inf
 
 StoreEvent = KeyRead | KeyWritten | KeyConflict | StoreFailed
 
@@ -81,7 +83,7 @@
         self._batch: dict[str, Claim] = {}
         self._exposed: list[tuple[ClaimAttempt, int | None]] = []
         self._version = 0
-        self._seen_at: float | None = None
+        self._seen_at = NEVER_S
         self._ticket = ""
         self._calls = 0
         self._pause_s = FIRST_PAUSE_S
@@ -158,8 +160,6 @@
         return max(due_at, self._resume_at)
 
     def _is_fresh(self, now: float) -> bool:
-        if self._seen_at is None:
-            return False
         return now - self._seen_at <= self._fresh_s
 
     def _write(self, now: float) -> None:
@@ -208,12 +208,12 @@
                 claims = {claim.request_id: claim for claim in bucket.claims}
                 self._note(claims, event.version, now)
             case Result():
-                self._seen_at = None
+                self._seen_at = NEVER_S
                 self._back_off(now)
 
     def _take_failure(self, event: StoreFailed, now: float) -> None:
         if event.sent:
-            self._seen_at = None
+            self._seen_at = NEVER_S
         else:
             for attempt, exposed_at in self._exposed:
                 attempt.exposed_at = exposed_at
