Parse backend answers with httptools

Cause: under cProfile the HTTP client took most of a leg: header objects, producers and chains of deferreds in Twisted's client (5.2 s of 8.2 s in dataReceived and below, 2,700 legs). Ruled out: the core (0.3 s for 2,700 replies); several legs in one call, as a query sends one leg a server. A connection is now one Twisted protocol around a public parser library in place of Twisted's private client classes; an answer whose length is not stated counts as cut short.

--- a/packages/bluebellbay/bluebellbay/transport/backend.py
+++ b/packages/bluebellbay/bluebellbay/transport/backend.py
@@ -21,10 +21,10 @@
 from bluebellbay.protocol.leg import LegRefusal
 from bluebellbay.protocol.leg import LegReply
 from bluebellbay.protocol.leg import ServerReport
+from bluebellbay.transport.connection import CallEnd
+from bluebellbay.transport.connection import CallFailed
 from bluebellbay.transport.interface import BackendLink
 from bluebellbay.transport.interface import Report
-from bluebellbay.transport.pool import CallEnd
-from bluebellbay.transport.pool import CallFailed
 from bluebellbay.transport.pool import ConnectionPool
 from bluebellbay.transport.pool import PooledCall
 
--- a/packages/bluebellbay/bluebellbay/transport/pool.py
+++ b/packages/bluebellbay/bluebellbay/transport/pool.py
@@ -11,46 +11,13 @@
 from twisted.internet.defer import succeed
 from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
-from twisted.web._newclient import HTTP11ClientProtocol
-from twisted.web._newclient import Request
-from twisted.web._newclient import RequestNotSent
-from twisted.web.http_headers import Headers
 
 from bluebellbay.transport._address import build_endpoint
-from bluebellbay.transport._http import BodyReader
-from bluebellbay.transport._http import BytesProducer
+from bluebellbay.transport.connection import CallEnd
+from bluebellbay.transport.connection import CallFailed
+from bluebellbay.transport.connection import Connection
 
 CONNECT_TIMEOUT_S = 1.0
-MAX_REPLY_BYTES = 16_777_216
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class CallAnswered:
-    """A call was answered with a whole body.
-
-    :param status: HTTP status.
-    :param body: The body.
-    """
-
-    status: int
-    body: bytes
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class CallFailed:
-    """A call ended without a whole answer.
-
-    :param sent: False only if no byte of the call was written.
-    :param expired: Whether it was held back as expired.
-    :param reason: One short phrase.
-    """
-
-    sent: bool
-    expired: bool = False
-    reason: str
-
-
-CallEnd = CallAnswered | CallFailed
 
 
 @dataclasses.dataclass(eq=False, slots=True, kw_only=True)
@@ -72,27 +39,10 @@
     build_body: Callable[[], bytes] | None = None
     expires_at: float | None = None
     timer: DelayedCall | None = None
-    connection: "_Connection | None" = None
+    connection: Connection | None = None
     ended: bool = False
 
 
-class _Connection(HTTP11ClientProtocol):
-    """A connection that tells its pool when it is free and when it is lost.
-
-    :param pool: The pool.
-    """
-
-    transport: Any
-
-    def __init__(self, pool: "ConnectionPool") -> None:
-        super().__init__(pool.take_back)
-        self._pool = pool
-
-    def connectionLost(self, reason: Failure) -> None:  # type: ignore[override]
-        super().connectionLost(reason)
-        self._pool.forget(self)
-
-
 class ConnectionPool:
     """Runs calls on at most so many connections; the others wait in order.
 
@@ -119,17 +69,14 @@
         self._endpoint = build_endpoint(
             reactor, address=address, timeout_s=CONNECT_TIMEOUT_S
         )
-        self._headers = Headers(
-            {
-                b"Host": [address.encode()],
-                b"Content-Type": [b"application/json"],
-            }
+        self._headers = (
+            f"Host: {address}\r\nContent-Type: application/json\r\n".encode()
         )
         self._waiting: collections.deque[PooledCall] = collections.deque()
         self._attempts: set[Deferred[Any]] = set()
-        self._idle: list[_Connection] = []
-        self._open: set[_Connection] = set()
-        self._closing: set[_Connection] = set()
+        self._idle: list[Connection] = []
+        self._open: set[Connection] = set()
+        self._closing: set[Connection] = set()
         self._stopped: Deferred[None] | None = None
 
     @property
@@ -193,7 +140,7 @@
             connection.transport.abortConnection()
         return self._stopped
 
-    def take_back(self, connection: "_Connection") -> None:
+    def take_back(self, connection: Connection) -> None:
         """Use a connection, which has become free, for the next call.
 
         :param connection: The connection.
@@ -202,7 +149,7 @@
         self._idle.append(connection)
         self._close_surplus()
 
-    def forget(self, connection: "_Connection") -> None:
+    def forget(self, connection: Connection) -> None:
         """Stop counting a connection that is closed.
 
         :param connection: The connection.
@@ -240,7 +187,9 @@
             connection.transport.loseConnection()
 
     def _open_connection(self) -> None:
-        factory = Factory.forProtocol(lambda: _Connection(self))
+        factory = Factory.forProtocol(
+            lambda: Connection(free=self.take_back, lost=self.forget)
+        )
         attempt = self._endpoint.connect(factory)
         self._attempts.add(attempt)
         attempt.addCallbacks(
@@ -262,12 +211,13 @@
             self._end(call, CallFailed(sent=False, reason=reason))
         self._run_waiting()
 
-    def _write(self, call: PooledCall, connection: "_Connection") -> None:
-        body = None
-        if call.build_body is not None:
-            body = BytesProducer(call.build_body())
-        request = Request(
-            call.method, call.path, self._headers, body, persistent=True
+    def _write(self, call: PooledCall, connection: Connection) -> None:
+        body = call.build_body() if call.build_body is not None else b""
+        head = b"%s %s HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n" % (
+            call.method,
+            call.path,
+            self._headers,
+            len(body),
         )
         if _has_expired(call, self._wall_clock()):
             self._idle.append(connection)
@@ -275,25 +225,7 @@
             self._end(call, end)
             return
         call.connection = connection
-        answered = connection.request(request)
-        answered.addCallbacks(
-            self._read_body, self._fail, (call,), {}, (call,)
-        )
-
-    def _read_body(self, response: Any, call: PooledCall) -> None:
-        def report(body: bytes | None) -> None:
-            if body is None:
-                end = CallFailed(sent=True, reason="answer cut short")
-                self._end(call, end)
-                return
-            self._end(call, CallAnswered(status=response.code, body=body))
-
-        response.deliverBody(BodyReader(limit=MAX_REPLY_BYTES, report=report))
-
-    def _fail(self, failure: Failure, call: PooledCall) -> None:
-        sent = not failure.check(RequestNotSent)
-        reason = _name_fault(failure)
-        self._end(call, CallFailed(sent=sent, reason=reason))
+        connection.run_call(head + body, lambda end: self._end(call, end))
 
     def _time_out(self, call: PooledCall) -> None:
         call.timer = None
