Take evidence of leaving, divide connections, and drain before the end

Cause: a server's leaving was seen from the list and its own word only, and forgotten with the record; the share was the limit over the peers that a node knew, so two nodes with different views could overspend; a node ended without telling anybody that its connections were closed. Ruled out: dividing by the live view alone (a partition makes both sides overspend); a joiner that waits for a set time (a frozen node can't give way in that time); a lease or a write to the store for each node.

--- a/features/steps/transport_steps.py
+++ b/features/steps/transport_steps.py
@@ -25,6 +25,7 @@
 from bluebellbay.protocol.event import LegReplied
 from bluebellbay.protocol.event import PeerDropped
 from bluebellbay.protocol.event import PeerReceived
+from bluebellbay.protocol.event import ShareInForce
 from bluebellbay.protocol.event import StoreFailed
 from bluebellbay.protocol.leg import LegRefusal
 from bluebellbay.protocol.leg import LegReply
@@ -104,6 +105,7 @@
 @behave.given("a backend link to a port where nobody listens")
 def link_nowhere(context):
     build_backend_link(context, find_free_address())
+    set_share(context, 1)
 
 
 @behave.when("the share is set to {limit:d}")
@@ -112,6 +114,20 @@
         server="s", address=context.address, limit=limit, warm=warm
     )
     call_in_reactor(context.link.set_share, command)
+    check_in_force(context, limit)
+
+
+@behave.when("the share is set to {limit:d} while legs run")
+def set_share_in_use(context, limit):
+    command = SetConnectionShare(
+        server="s", address=context.address, limit=limit
+    )
+    call_in_reactor(context.link.set_share, command)
+
+
+@behave.then("the share of {limit:d} is reported as in force")
+def check_in_force(context, limit):
+    assert context.log.wait() == ShareInForce(server="s", limit=limit)
 
 
 @behave.when("the share is set to {limit:d} with {warm:d} warm")
--- a/features/transport.feature
+++ b/features/transport.feature
@@ -35,6 +35,19 @@
     And the share is set to 0
     Then the link comes to hold 0 connections
 
+  Scenario: A share of nothing ends what waits and lets what runs finish
+    Given a backend link to a scripted server with a share of 1
+    When leg "a" is sent and taken by the server
+    And leg "b" is sent
+    And the share is set to 0 while legs run
+    Then leg "b" is reported as failed and not run
+    When leg "c" is sent
+    Then leg "c" is reported as failed and not run
+    When leg "a" is answered late
+    Then leg "a" is reported as replied
+    And the share of 0 is reported as in force
+    And no other event was reported by the link
+
   Scenario: Connections are opened before they are needed
     Given a backend link to a scripted server with a share of 3
     When the share is set to 3 with 2 warm
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/coordination/census.py
@@ -0,0 +1,212 @@
+"""Counts the nodes that may hold connections to backend servers.
+
+Every node divides a server's limit by at least the number of nodes that may
+hold connections, so that the shares never add up to more than the limit.
+Two rules see to that:
+
+- A node that is admitted counts every other that is. A node is admitted
+  once all that it knows of count it too, with their connections within the
+  smaller shares. While there are no more nodes than the settings name, the
+  word of one admitted node is enough, or a list of VMs that was read long
+  enough after the start to show every other.
+- A node is counted no longer only after its own word that it has closed its
+  connections, or once the platform's list has left it out, and nothing has
+  been heard of it, for as long as connections may linger.
+"""
+
+import dataclasses
+
+from bluebellbay.protocol.peer import FleetMember
+from bluebellbay.protocol.peer import ShareNotice
+
+UNKNOWN_TOKEN = 0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Member:
+    token: int
+    heard_at: float
+    missing_since: float | None = None
+    counts: frozenset[str] | None = None
+    vouches: bool = False
+
+
+class Census:
+    """The nodes that this one divides the connections for.
+
+    :param name: Name of this node.
+    :param token: Random number of this process.
+    :param named: Names of the entry VMs in the settings.
+    :param linger_s: Time in seconds until a lost node's connections must
+        have ended.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        token: int,
+        named: frozenset[str],
+        linger_s: float,
+    ) -> None:
+        self.admitted = False
+        self._name = name
+        self._token = token
+        self._size = len(named | {name})
+        self._least_size = self._size
+        self._linger_s = linger_s
+        self._started_at: float | None = None
+        self._list_read_at: float | None = None
+        self._members = {
+            item: _Member(token=UNKNOWN_TOKEN, heard_at=0.0)
+            for item in named - {name}
+        }
+        self._gone: dict[str, set[int]] = {}
+        self._stopped: set[FleetMember] = set()
+        self._listed_since_gone: set[str] = set()
+
+    @property
+    def divisor(self) -> int:
+        """Number of nodes that the connections are divided by."""
+        return max(self._size, 1 + len(self._members))
+
+    def list_members(self) -> tuple[str, ...]:
+        """List the other nodes that are counted, by name."""
+        return tuple(sorted(self._members))
+
+    def list_counted(self) -> tuple[FleetMember, ...]:
+        """List all nodes that are counted, this one first."""
+        others = tuple(
+            FleetMember(name=name, token=self._members[name].token)
+            for name in self.list_members()
+        )
+        return (FleetMember(name=self._name, token=self._token), *others)
+
+    def start(self, now: float) -> None:
+        """Take note of the start, once.
+
+        :param now: Present time in seconds.
+        """
+        if self._started_at is not None:
+            return
+        self._started_at = now
+        for member in self._members.values():
+            member.heard_at = now
+
+    def take_list(self, names: frozenset[str], now: float) -> None:
+        """Take the entry VMs of the platform's list.
+
+        :param names: Their names.
+        :param now: Present time in seconds.
+        """
+        self._list_read_at = now
+        self._listed_since_gone &= names
+        for name in names - self._listed_since_gone - {self._name}:
+            self._add(name, UNKNOWN_TOKEN, now)
+        for name, member in self._members.items():
+            if name in names:
+                member.missing_since = None
+            elif member.missing_since is None:
+                member.missing_since = now
+        self._drop_lost(now)
+
+    def take_notice(
+        self, sender: str, notice: ShareNotice, now: float
+    ) -> None:
+        """Take what another node says that it counts.
+
+        :param sender: Name of the node.
+        :param notice: Its notice.
+        :param now: Present time in seconds.
+        """
+        if FleetMember(name=sender, token=notice.token) in self._stopped:
+            return
+        member = self._add(sender, notice.token, now)
+        if member.token != notice.token:
+            member.token = notice.token
+            member.counts = None
+        member.heard_at = now
+        self._least_size = min(self._least_size, notice.size)
+        for other in notice.counted:
+            if other.name != self._name and not self._is_gone(other):
+                self._add(other.name, other.token, now)
+        me = FleetMember(name=self._name, token=self._token)
+        counts_me = notice.settled and me in notice.counted
+        member.counts = (
+            frozenset(item.name for item in notice.counted)
+            if counts_me
+            else None
+        )
+        member.vouches = counts_me and notice.admitted and notice.expected
+
+    def take_stopped(self, sender: str, token: int) -> None:
+        """Take a node's word that it has closed its connections.
+
+        :param sender: Name of the node.
+        :param token: Random number of its process.
+        """
+        member = self._members.get(sender)
+        if member is None or member.token not in (token, UNKNOWN_TOKEN):
+            return
+        del self._members[sender]
+        self._gone.setdefault(sender, set()).add(token)
+        self._stopped.add(FleetMember(name=sender, token=token))
+        # The platform's list may go on naming it for a while.
+        self._listed_since_gone.add(sender)
+
+    def note_heard(self, sender: str, now: float) -> None:
+        """Take note that a node is alive.
+
+        :param sender: Name of the node.
+        :param now: Present time in seconds.
+        """
+        member = self._members.get(sender)
+        if member is not None:
+            member.heard_at = now
+
+    def admit(self, now: float) -> bool:
+        """Say whether this node may hold connections; if so, for good.
+
+        :param now: Present time in seconds.
+        :returns: Whether it may.
+        """
+        if not self.admitted:
+            self.admitted = self._may_be_admitted(now)
+        return self.admitted
+
+    def _add(self, name: str, token: int, now: float) -> _Member:
+        member = self._members.get(name)
+        if member is None:
+            member = _Member(token=token, heard_at=now)
+            self._members[name] = member
+        return member
+
+    def _drop_lost(self, now: float) -> None:
+        for name, member in tuple(self._members.items()):
+            if member.missing_since is None:
+                continue
+            quiet_since = max(member.missing_since, member.heard_at)
+            if now - quiet_since >= self._linger_s:
+                del self._members[name]
+                self._gone.setdefault(name, set()).add(member.token)
+
+    def _is_gone(self, member: FleetMember) -> bool:
+        tokens = self._gone.get(member.name)
+        if tokens is None or member.name in self._members:
+            return False
+        return member.token == UNKNOWN_TOKEN or member.token in tokens
+
+    def _may_be_admitted(self, now: float) -> bool:
+        if self._list_read_at is None or self._started_at is None:
+            return False
+        wanted = frozenset((self._name, *self._members))
+        if all(
+            member.counts is not None and member.counts >= wanted
+            for member in self._members.values()
+        ):
+            return True
+        if len(wanted) > self._least_size:
+            return False
+        if any(member.vouches for member in self._members.values()):
+            return True
+        return self._list_read_at >= self._started_at + self._linger_s
--- a/packages/bluebellbay/bluebellbay/coordination/core.py
+++ b/packages/bluebellbay/bluebellbay/coordination/core.py
@@ -5,10 +5,12 @@
 
 from bluebellbay.coordination.claim import ClaimPart
 from bluebellbay.coordination.configuration import ConfigurationPart
+from bluebellbay.coordination.leaving import LeavingPart
 from bluebellbay.coordination.membership import MembershipPart
 from bluebellbay.coordination.part import Part
 from bluebellbay.coordination.query import QueryPart
 from bluebellbay.coordination.server import ServerPart
+from bluebellbay.coordination.share import SharePart
 from bluebellbay.coordination.shutdown import ShutdownPart
 from bluebellbay.protocol.command import Command
 from bluebellbay.protocol.event import Event
@@ -79,6 +81,8 @@
         ConfigurationPart,
         MembershipPart,
         ServerPart,
+        LeavingPart,
+        SharePart,
         QueryPart,
         ClaimPart,
         ShutdownPart,
--- a/packages/bluebellbay/bluebellbay/coordination/server.py
+++ b/packages/bluebellbay/bluebellbay/coordination/server.py
@@ -9,14 +9,14 @@
 from bluebellbay.protocol.command import LogDecision
 from bluebellbay.protocol.command import PollServer
 from bluebellbay.protocol.command import ReadVmList
-from bluebellbay.protocol.command import SetConnectionShare
 from bluebellbay.protocol.event import Event
+from bluebellbay.protocol.event import ServerAdded
+from bluebellbay.protocol.event import ServerDropped
 from bluebellbay.protocol.event import ServerPolled
 from bluebellbay.protocol.event import TimePassed
 from bluebellbay.protocol.event import VmListRead
 from bluebellbay.protocol.vm import VmEntry
 from bluebellbay.protocol.vm import VmRole
-from bluebellbay.protocol.vm import VmState
 from bluebellbay.state.node import NodeState
 from bluebellbay.state.server import ServerRecord
 
@@ -79,6 +79,10 @@
         return period_s * self.state.rng.uniform(1 - JITTER, 1 + JITTER)
 
     def _read_list(self, event: VmListRead, now: float) -> Iterator[Step]:
+        # The list is served with a lag, so an older one may come later.
+        if event.vm_list.sequence < self.state.servers.list_sequence:
+            return
+        self.state.servers.list_sequence = event.vm_list.sequence
         listed = {
             entry.name: entry
             for entry in event.vm_list.vms
@@ -89,18 +93,18 @@
             record = self.state.servers.servers.get(entry.name)
             if record is None or record.incarnation < entry.incarnation:
                 yield from self._add_server(entry, now)
-            elif entry.state is VmState.LEAVING and not record.leaving:
-                yield from self._mark_leaving(record, "list")
         gone = self.state.servers.servers.keys() - listed.keys()
         for name in sorted(gone):
             yield from self._drop_server(self.state.servers.servers[name])
 
     def _add_server(self, entry: VmEntry, now: float) -> Iterator[Step]:
         index = self.state.servers.indexes[entry.index]
-        known = entry.name in self.state.servers.servers
-        share = max(
-            1, index.connection_limit // (len(self.state.fleet.peers) + 1)
-        )
+        former = self.state.servers.servers.get(entry.name)
+        share = 0
+        if former is not None and former.address == entry.address:
+            share = former.connection_share
+        elif former is not None:
+            yield ServerDropped(server=former.name, address=former.address)
         self.state.servers.servers[entry.name] = ServerRecord(
             name=entry.name,
             address=entry.address,
@@ -111,46 +115,29 @@
             connection_limit=index.connection_limit,
             incarnation=entry.incarnation,
             added_at=now,
-            leaving=entry.state is VmState.LEAVING,
             connection_share=share,
         )
         self.state.servers.holdings[entry.index].remove_server(entry.name)
-        if not known:
+        if former is None:
             heapq.heappush(self._polls, (now, entry.name))
-        yield SetConnectionShare(
-            server=entry.name, address=entry.address, limit=share
-        )
+        yield ServerAdded(server=entry.name)
         yield LogDecision(
             part="server",
             sentence="Added.",
-            fields=(
-                Field(name="server", value=entry.name),
-                Field(name="share", value=share),
-            ),
-        )
-
-    def _mark_leaving(
-        self, record: ServerRecord, source: str
-    ) -> Iterator[Step]:
-        record.leaving = True
-        yield LogDecision(
-            part="server",
-            sentence="Leaving.",
-            fields=(
-                Field(name="server", value=record.name),
-                Field(name="source", value=source),
-            ),
+            fields=(Field(name="server", value=entry.name),),
         )
 
     def _drop_server(self, record: ServerRecord) -> Iterator[Step]:
-        if not record.leaving:
-            yield from self._mark_leaving(record, "absent")
+        record.leaving = True
         if record.outstanding > 0:
             return
         del self.state.servers.servers[record.name]
         self.state.servers.holdings[record.index].remove_server(record.name)
-        yield SetConnectionShare(
-            server=record.name, address=record.address, limit=0
+        yield ServerDropped(server=record.name, address=record.address)
+        yield LogDecision(
+            part="server",
+            sentence="Dropped.",
+            fields=(Field(name="server", value=record.name),),
         )
 
     def _read_health(self, event: ServerPolled) -> None:
@@ -158,7 +145,6 @@
         if record is None or event.report is None:
             return
         record.hinted_load = event.report.load
-        record.leaving = record.leaving or event.report.leaving
         self.state.servers.holdings[record.index].set_server(
             server=record.name,
             service=record.service,
--- a/packages/bluebellbay/bluebellbay/coordination/shutdown.py
+++ b/packages/bluebellbay/bluebellbay/coordination/shutdown.py
@@ -1,6 +1,9 @@
 """Leads a node through its graceful shutdown."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable
+from typing import Protocol
+
+from automat import TypeMachineBuilder
 
 from bluebellbay.coordination.part import Part
 from bluebellbay.coordination.part import Step
@@ -10,67 +13,141 @@
 from bluebellbay.protocol.event import AdmissionClosed
 from bluebellbay.protocol.event import Event
 from bluebellbay.protocol.event import QueriesDrained
+from bluebellbay.protocol.event import SharesClosed
+from bluebellbay.protocol.event import SharesGivenUp
 from bluebellbay.protocol.event import ShutdownRequested
 from bluebellbay.protocol.event import TimePassed
 from bluebellbay.state.node import NodeState
 
+PART = "shutdown"
+
+
+class _Inputs(Protocol):
+    def request(self, now: float) -> None:
+        """The process was asked to end."""
+
+    def pass_lag(self, now: float) -> None:
+        """The balancer sends nothing more."""
+
+    def drain(self, now: float) -> None:
+        """No request is in flight any more."""
+
+    def close(self, now: float) -> None:
+        """No connection to a backend server is open any more."""
+
+    def pass_limit(self, now: float) -> None:
+        """The longest time for all of it is over."""
+
 
 class ShutdownPart(Part):
-    """Waits for the balancer, closes admission, then stops once drained."""
+    """Waits for the balancer, closes admission, drains, and then stops.
+
+    A second request changes nothing; only the limit ends it early.
+
+    :param state: The node's shared state.
+    """
 
     def __init__(self, *, state: NodeState) -> None:
         super().__init__(state=state)
-        self._close_at: float | None = None
-        self._stop_at: float | None = None
+        self.lag_ends_at: float | None = None
+        self.limit_at: float | None = None
+        self.steps: list[Step] = []
+        self._machine = _build_machine(self)
 
     @property
     def handles(self) -> tuple[type, ...]:
         """The kinds of event that the part wants to be told."""
-        return (ShutdownRequested, QueriesDrained, TimePassed)
+        return (ShutdownRequested, QueriesDrained, SharesClosed, TimePassed)
 
-    def step(self, event: Event, now: float) -> Iterator[Step]:
+    def step(self, event: Event, now: float) -> Iterable[Step]:
         """Take one event.
 
         :param event: The event.
         :param now: Present time in seconds, Unix time.
         :returns: Commands and internal events, in order.
         """
-        if isinstance(event, ShutdownRequested):
-            yield from self._begin(now)
-        elif isinstance(event, QueriesDrained):
-            yield from self._stop("Drained.")
-        elif isinstance(event, TimePassed):
-            yield from self._run_timers(now)
+        match event:
+            case ShutdownRequested():
+                self._machine.request(now)
+            case QueriesDrained():
+                self._machine.drain(now)
+            case SharesClosed():
+                self._machine.close(now)
+            case TimePassed():
+                self._run_timers(now)
+        steps, self.steps = self.steps, []
+        return steps
 
     def next_wake(self) -> float | None:
         """Name the time at which ``TimePassed`` is due.
 
         :returns: Time in seconds, or none if no timer is set.
         """
-        if self._close_at is not None:
-            return self._close_at
-        return self._stop_at
-
-    def _begin(self, now: float) -> Iterator[Step]:
-        if self._stop_at is not None:
-            return
-        settings = self.state.settings.shutdown
-        self._close_at = now + settings.balancer_lag_s
-        self._stop_at = now + settings.limit_s
-        yield ReportHealth(healthy=False)
-        yield LogDecision(part="shutdown", sentence="Leaving.")
-
-    def _run_timers(self, now: float) -> Iterator[Step]:
-        if self._close_at is not None and now >= self._close_at:
-            self._close_at = None
-            yield LogDecision(part="shutdown", sentence="Admission closed.")
-            yield AdmissionClosed()
-        if self._stop_at is not None and now >= self._stop_at:
-            yield from self._stop("Limit reached.")
-
-    def _stop(self, sentence: str) -> Iterator[Step]:
-        if self._stop_at is None:
-            return
-        self._stop_at = None
-        yield LogDecision(part="shutdown", sentence=sentence)
-        yield StopProcess()
+        if self.lag_ends_at is not None:
+            return self.lag_ends_at
+        return self.limit_at
+
+    def _run_timers(self, now: float) -> None:
+        if self.lag_ends_at is not None and now >= self.lag_ends_at:
+            self.lag_ends_at = None
+            self._machine.pass_lag(now)
+        if self.limit_at is not None and now >= self.limit_at:
+            self._machine.pass_limit(now)
+
+
+def _log(part: ShutdownPart, sentence: str) -> None:
+    part.steps.append(LogDecision(part=PART, sentence=sentence))
+
+
+def _do_leave(inputs: _Inputs, part: ShutdownPart, now: float) -> None:
+    settings = part.state.settings.shutdown
+    part.lag_ends_at = now + settings.balancer_lag_s
+    part.limit_at = now + settings.limit_s
+    part.steps.append(ReportHealth(healthy=False))
+    _log(part, "Leaving.")
+
+
+def _do_close_admission(
+    inputs: _Inputs, part: ShutdownPart, now: float
+) -> None:
+    _log(part, "Admission closed.")
+    part.steps.append(AdmissionClosed())
+
+
+def _do_give_up_shares(
+    inputs: _Inputs, part: ShutdownPart, now: float
+) -> None:
+    _log(part, "Drained.")
+    part.steps.append(SharesGivenUp())
+
+
+def _do_stop(inputs: _Inputs, part: ShutdownPart, now: float) -> None:
+    part.lag_ends_at = None
+    part.limit_at = None
+    _log(part, "Stopped.")
+    part.steps.append(StopProcess())
+
+
+def _make_builder() -> TypeMachineBuilder[_Inputs, ShutdownPart]:
+    builder = TypeMachineBuilder(_Inputs, ShutdownPart)
+    serving = builder.state("serving")
+    leaving = builder.state("leaving")
+    draining = builder.state("draining")
+    closing = builder.state("closing")
+    over = builder.state("over")
+    serving.upon(_Inputs.request).to(leaving)(_do_leave)
+    leaving.upon(_Inputs.pass_lag).to(draining)(_do_close_admission)
+    draining.upon(_Inputs.drain).to(closing)(_do_give_up_shares)
+    closing.upon(_Inputs.close).to(over)(_do_stop)
+    for state in (leaving, draining, closing):
+        state.upon(_Inputs.pass_limit).to(over)(_do_stop)
+    for state in (leaving, draining, closing, over):
+        state.upon(_Inputs.request).loop().returns(None)
+    for state in (serving, leaving, closing, over):
+        state.upon(_Inputs.drain).loop().returns(None)
+    for state in (serving, leaving, draining, over):
+        state.upon(_Inputs.close).loop().returns(None)
+    return builder
+
+
+_build_machine = _make_builder().build()
--- a/packages/bluebellbay/bluebellbay/protocol/event.py
+++ b/packages/bluebellbay/bluebellbay/protocol/event.py
@@ -91,6 +91,18 @@
     report: ServerReport | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ShareInForce:
+    """The connections to a server are within the share that was set last.
+
+    :param server: Name of the server.
+    :param limit: The share.
+    """
+
+    server: str
+    limit: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class VmListRead:
     """The platform's list of VMs was read.
@@ -271,6 +283,58 @@
     """From shutdown to query: new requests are refused from now on."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServerAdded:
+    """From server to the others: a server, or a new start of it, is known.
+
+    :param server: Name of the server.
+    """
+
+    server: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServerDropped:
+    """From server to the others: a server is known no longer.
+
+    :param server: Name of the server.
+    :param address: ``host:port`` that it served on.
+    """
+
+    server: str
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServerLeft:
+    """From leaving to the others: a server gets no new work.
+
+    :param server: Name of the server.
+    """
+
+    server: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServerReturned:
+    """From leaving to the others: a server gets work again.
+
+    :param server: Name of the server.
+    """
+
+    server: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SharesGivenUp:
+    """From shutdown to share: no connection is needed any more."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SharesClosed:
+    """From share to shutdown: every connection is closed, peers are told."""
+
+
 InternalEvent = (
     ClaimRequested
     | ClaimGranted
@@ -280,6 +344,12 @@
     | ConfigurationChanged
     | QueriesDrained
     | AdmissionClosed
+    | ServerAdded
+    | ServerDropped
+    | ServerLeft
+    | ServerReturned
+    | SharesGivenUp
+    | SharesClosed
 )
 
 INTERNAL_EVENTS: tuple[type, ...] = (
@@ -291,6 +361,12 @@
     ConfigurationChanged,
     QueriesDrained,
     AdmissionClosed,
+    ServerAdded,
+    ServerDropped,
+    ServerLeft,
+    ServerReturned,
+    SharesGivenUp,
+    SharesClosed,
 )
 
 Event = (
@@ -300,6 +376,7 @@
     | LegRefused
     | LegFailed
     | ServerPolled
+    | ShareInForce
     | VmListRead
     | KeyRead
     | KeyWritten
--- a/packages/bluebellbay/bluebellbay/protocol/peer.py
+++ b/packages/bluebellbay/bluebellbay/protocol/peer.py
@@ -37,9 +37,89 @@
     change_id: str = ""
 
 
-PeerMessage = ConfigurationPush | ConfigurationDigest
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Departure:
+    """Evidence that a backend server is leaving.
+
+    :param server: Name of the server's VM.
+    :param incarnation: The start of the server that the evidence is about.
+    :param revision: Configuration revision in force where it was seen.
+    """
+
+    server: str
+    incarnation: int
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LeavingNotice:
+    """Servers that the sender knows to be leaving.
+
+    :param departures: The evidence, one for each server.
+    """
+
+    departures: tuple[Departure, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class FleetMember:
+    """A node that may hold connections to backend servers.
+
+    :param name: Name of its VM.
+    :param token: Random number of its process; 0 if not known.
+    """
+
+    name: str
+    token: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ShareNotice:
+    """For how many nodes the sender divides the servers' connections.
+
+    :param token: Random number of the sender's process.
+    :param counted: The nodes that it divides for, the sender included.
+    :param settled: Whether its connections are within these shares.
+    :param admitted: Whether it may open connections.
+    :param expected: Whether the sender's settings name the receiver.
+    :param size: Entry VMs that the sender's settings name.
+    :param wants_reply: Whether the receiver should answer with its own.
+    """
+
+    token: int
+    counted: tuple[FleetMember, ...]
+    settled: bool
+    admitted: bool
+    expected: bool
+    size: int
+    wants_reply: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NodeStopped:
+    """The sender has closed its connections to backend servers and ends.
+
+    :param token: Random number of the sender's process.
+    """
+
+    token: int
+
+
+PeerMessage = (
+    ConfigurationPush
+    | ConfigurationDigest
+    | LeavingNotice
+    | ShareNotice
+    | NodeStopped
+)
 
-PEER_MESSAGES: tuple[type, ...] = (ConfigurationPush, ConfigurationDigest)
+PEER_MESSAGES: tuple[type, ...] = (
+    ConfigurationPush,
+    ConfigurationDigest,
+    LeavingNotice,
+    ShareNotice,
+    NodeStopped,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/bluebellbay/bluebellbay/state/node.py
+++ b/packages/bluebellbay/bluebellbay/state/node.py
@@ -5,6 +5,7 @@
 from bluebellbay.settings import Settings
 from bluebellbay.state.configuration import ConfigurationState
 from bluebellbay.state.counter import QueryCounters
+from bluebellbay.state.departure import DepartureTable
 from bluebellbay.state.fleet import FleetView
 from bluebellbay.state.server import ServerTable
 
@@ -21,5 +22,6 @@
         self.rng = rng
         self.configuration = ConfigurationState()
         self.fleet = FleetView(node=settings.node, peers=settings.peers)
+        self.departures = DepartureTable()
         self.servers = ServerTable(indexes=settings.indexes)
         self.query_counters = QueryCounters()
--- a/packages/bluebellbay/bluebellbay/state/server.py
+++ b/packages/bluebellbay/bluebellbay/state/server.py
@@ -55,3 +55,4 @@
         self.indexes = {index.name: index for index in indexes}
         self.holdings = {index.name: HoldingTable() for index in indexes}
         self.servers: dict[str, ServerRecord] = {}
+        self.list_sequence = 0
--- a/packages/bluebellbay/bluebellbay/transport/backend.py
+++ b/packages/bluebellbay/bluebellbay/transport/backend.py
@@ -18,6 +18,7 @@
 from bluebellbay.protocol.event import LegRefused
 from bluebellbay.protocol.event import LegReplied
 from bluebellbay.protocol.event import ServerPolled
+from bluebellbay.protocol.event import ShareInForce
 from bluebellbay.protocol.leg import LegRefusal
 from bluebellbay.protocol.leg import LegReply
 from bluebellbay.protocol.leg import ServerReport
@@ -28,7 +29,7 @@
 from bluebellbay.transport.pool import ConnectionPool
 from bluebellbay.transport.pool import PooledCall
 
-DEFAULT_SHARE = 1
+DEFAULT_SHARE = 0
 CONTROL_TIMEOUT_S = 1.0
 MS_PER_S = 1000
 
@@ -149,6 +150,9 @@
                 reactor=self._reactor,
                 address=address,
                 limit=DEFAULT_SHARE,
+                report_in_force=lambda limit: self._report(
+                    ShareInForce(server=server, limit=limit)
+                ),
                 wall_clock=self._wall_clock,
             )
         return pool
--- a/packages/bluebellbay/bluebellbay/transport/pool.py
+++ b/packages/bluebellbay/bluebellbay/transport/pool.py
@@ -102,6 +102,7 @@
     :param reactor: The reactor.
     :param address: ``host:port`` of the server.
     :param limit: Most connections at once.
+    :param report_in_force: Told the bound once it holds.
     :param wall_clock: Gives the present Unix time in seconds.
     """
 
@@ -111,10 +112,13 @@
         reactor: Any,
         address: str,
         limit: int,
+        report_in_force: Callable[[int], None],
         wall_clock: Callable[[], float] = time.time,
     ) -> None:
         self._reactor = reactor
         self._limit = limit
+        self._report_in_force = report_in_force
+        self._in_force = True
         self._wall_clock = wall_clock
         self._endpoint = build_endpoint(
             reactor, address=address, timeout_s=CONNECT_TIMEOUT_S
@@ -144,8 +148,10 @@
         :param warm: Connections to have open.
         """
         self._limit = limit
+        self._in_force = False
         self._close_surplus()
         self._run_waiting()
+        self._check_in_force()
         for _ in range(min(warm, limit) - self.size):
             self._open_connection()
 
@@ -181,9 +187,7 @@
         :returns: Fires once they are closed.
         """
         self._limit = 0
-        while self._waiting:
-            call = self._waiting.popleft()
-            self._end(call, CallFailed(sent=False, reason="stopped"))
+        self._refuse_waiting("stopped")
         for attempt in tuple(self._attempts):
             attempt.cancel()
         if not self._open:
@@ -215,6 +219,7 @@
             stopped, self._stopped = self._stopped, None
             stopped.callback(None)
         self._run_waiting()
+        self._check_in_force()
 
     def _enqueue(
         self, call: PooledCall, enqueue: Callable[[PooledCall], None]
@@ -226,12 +231,26 @@
         self._run_waiting()
 
     def _run_waiting(self) -> None:
+        if self._limit == 0:
+            self._refuse_waiting("no connection allowed")
+            return
         while self._waiting and self._idle:
             self._write(self._waiting.popleft(), self._idle.pop())
         wanted = min(len(self._waiting), self._limit - len(self._open))
         for _ in range(wanted - len(self._attempts)):
             self._open_connection()
 
+    def _refuse_waiting(self, reason: str) -> None:
+        while self._waiting:
+            call = self._waiting.popleft()
+            self._end(call, CallFailed(sent=False, reason=reason))
+
+    def _check_in_force(self) -> None:
+        if self._in_force or self.size > self._limit:
+            return
+        self._in_force = True
+        self._report_in_force(self._limit)
+
     def _close_surplus(self) -> None:
         surplus = self.size - len(self._closing) - self._limit
         for connection in self._idle[: max(0, surplus)]:
@@ -261,6 +280,7 @@
             reason = f"not connected: {_name_fault(failure)}"
             self._end(call, CallFailed(sent=False, reason=reason))
         self._run_waiting()
+        self._check_in_force()
 
     def _write(self, call: PooledCall, connection: "_Connection") -> None:
         body = None
