--- a/packages/bluebellbay/bluebellbay/coordination/core.py
+++ b/packages/bluebellbay/bluebellbay/coordination/core.py
@@ -3,9 +3,13 @@
 import collections
 import random
 
+from bluebellbay.coordination.claim import ClaimPart
 from bluebellbay.coordination.configuration import ConfigurationPart
 from bluebellbay.coordination.membership import MembershipPart
 from bluebellbay.coordination.part import Part
+from bluebellbay.coordination.query import QueryPart
+from bluebellbay.coordination.server import ServerPart
+from bluebellbay.coordination.shutdown import ShutdownPart
 from bluebellbay.protocol.command import Command
 from bluebellbay.protocol.event import Event
 from bluebellbay.protocol.event import INTERNAL_EVENTS
@@ -71,4 +75,11 @@
 
 def list_parts() -> tuple[type[Part], ...]:
     """List the parts of a whole node, in the order they are told events."""
-    return (MembershipPart, ConfigurationPart)
+    return (
+        MembershipPart,
+        ConfigurationPart,
+        ServerPart,
+        QueryPart,
+        ClaimPart,
+        ShutdownPart,
+    )
