--- a/packages/bluebellbay/bluebellbay/coordination/core.py
+++ b/packages/bluebellbay/bluebellbay/coordination/core.py
@@ -76,8 +76,8 @@
 def list_parts() -> tuple[type[Part], ...]:
     """List the parts of a whole node, in the order they are told events."""
     return (
-        MembershipPart,
         ConfigurationPart,
+        MembershipPart,
         ServerPart,
         QueryPart,
         ClaimPart,
