Find out which peers are alive by direct exchange

Cause: peers were known and never found alive, dead or gone. Ruled out: leases or store writes for each node, whose number grows with the fleet; gossip with any peer at random, which holds a socket to each of 479. Before: every peer stayed unknown.

--- a/packages/bluebellbay/bluebellbay/coordination/watcher.py
+++ b/packages/bluebellbay/bluebellbay/coordination/watcher.py
@@ -1,8 +1,7 @@
 """Choice of the nodes that watch the store for their failure domain."""
 
-import hashlib
-
 from bluebellbay.state.fleet import FleetView
+from bluebellbay.state.fleet import weigh_name
 
 
 def is_watcher(fleet: FleetView, *, watchers: int) -> bool:
@@ -15,12 +14,8 @@
     :param watchers: Watchers wanted in each failure domain.
     :returns: Whether it is.
     """
-    own = _weigh(fleet.node.name)
+    own = weigh_name(fleet.node.name)
     heavier = sum(
-        _weigh(peer.name) > own for peer in fleet.list_domain_peers()
+        weigh_name(peer.name) > own for peer in fleet.list_domain_peers()
     )
     return heavier < watchers
-
-
-def _weigh(name: str) -> bytes:
-    return hashlib.blake2b(name.encode(), digest_size=8).digest()
--- a/packages/bluebellbay/bluebellbay/protocol/peer.py
+++ b/packages/bluebellbay/bluebellbay/protocol/peer.py
@@ -1,11 +1,16 @@
 """Messages between entry VMs, and the envelope that carries them."""
 
 import dataclasses
+import enum
+from typing import Annotated
+
+import msgspec
 
 from bluebellbay.protocol.configuration import ConfigurationDocument
 
 PEER_PROTOCOL_VERSION = 1
 MAX_PEER_MESSAGE_BYTES = 1_048_576
+MAX_STATUS_UPDATES = 12
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -37,9 +42,103 @@
     change_id: str = ""
 
 
-PeerMessage = ConfigurationPush | ConfigurationDigest
+class PeerStatus(enum.StrEnum):
+    """What a node believes of a peer."""
+
+    UNKNOWN = "unknown"
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+    LEFT = "left"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StatusUpdate:
+    """What the sender believes of one node, itself included.
+
+    :param name: Name of the node.
+    :param incarnation: The node's incarnation that this is about; only the
+        node itself raises it, to refute what others believe.
+    :param status: What is believed.
+    """
+
+    name: str
+    incarnation: int
+    status: PeerStatus
+
+
+StatusUpdates = Annotated[
+    tuple[StatusUpdate, ...], msgspec.Meta(max_length=MAX_STATUS_UPDATES)
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Introduction:
+    """Where a node is found that the receiver may not have heard of.
+
+    :param failure_domain: Its failure domain.
+    :param address: ``host:port`` for callers and operators.
+    :param peer_address: ``host:port`` for peers.
+    """
+
+    failure_domain: str
+    address: str
+    peer_address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Ping:
+    """Asks whether the receiver is alive.
+
+    :param number: Echoed in the answer.
+    :param updates: What the sender passes on.
+    :param introduction: Set until the receiver has answered once.
+    """
+
+    number: int
+    updates: StatusUpdates = ()
+    introduction: Introduction | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PingRequest:
+    """Asks the receiver to ping a third node on the sender's behalf.
+
+    :param number: Echoed in the answer.
+    :param subject: Name of the third node.
+    :param updates: What the sender passes on.
+    """
+
+    number: int
+    subject: str
+    updates: StatusUpdates = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Ack:
+    """Answers a ping, or passes the answer of a third node on.
+
+    :param number: Number of the ping or of the request.
+    :param subject: Name of the node that is alive.
+    :param updates: What the sender passes on.
+    """
+
+    number: int
+    subject: str
+    updates: StatusUpdates = ()
+
+
+PeerMessage = (
+    ConfigurationPush | ConfigurationDigest | Ping | PingRequest | Ack
+)
 
-PEER_MESSAGES: tuple[type, ...] = (ConfigurationPush, ConfigurationDigest)
+PEER_MESSAGES: tuple[type, ...] = (
+    ConfigurationPush,
+    ConfigurationDigest,
+    Ping,
+    PingRequest,
+    Ack,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/bluebellbay/bluebellbay/state/fleet.py
+++ b/packages/bluebellbay/bluebellbay/state/fleet.py
@@ -1,20 +1,20 @@
 """The entry VMs of the fleet, as one node sees them."""
 
 import dataclasses
-import enum
+import functools
+import hashlib
 
+from bluebellbay.protocol.peer import PeerStatus
 from bluebellbay.settings import NodeSettings
 from bluebellbay.settings import PeerSettings
 
+# Sockets to peers stay few in a large fleet: a node gossips with the next
+# ones on a hash ring, which leaves nobody out, and with some more.
+RING_CONTACTS = 4
+CONTACTS = 16
+DEAD_CONTACTS = 4
 
-class PeerStatus(enum.StrEnum):
-    """What a node believes of a peer."""
-
-    UNKNOWN = "unknown"
-    ALIVE = "alive"
-    SUSPECT = "suspect"
-    DEAD = "dead"
-    LEFT = "left"
+GONE = frozenset({PeerStatus.DEAD, PeerStatus.LEFT})
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -46,6 +46,7 @@
         self, *, node: NodeSettings, peers: tuple[PeerSettings, ...]
     ) -> None:
         self.node = node
+        self.configured = frozenset(peer.name for peer in peers)
         self.peers: dict[str, PeerRecord] = {
             peer.name: PeerRecord(
                 name=peer.name,
@@ -56,12 +57,42 @@
             for peer in peers
             if peer.name != node.name
         }
+        self._contacts: tuple[PeerRecord, ...] | None = None
+
+    def add_peer(self, peer: PeerRecord) -> None:
+        """Add a peer.
+
+        :param peer: The peer.
+        """
+        self.peers[peer.name] = peer
+        self._contacts = None
+
+    def remove_peer(self, name: str) -> None:
+        """Forget a peer.
+
+        :param name: Name of the peer.
+        """
+        self.peers.pop(name, None)
+        self._contacts = None
+
+    def set_status(
+        self, peer: PeerRecord, status: PeerStatus, *, now: float
+    ) -> None:
+        """Change what is believed of a peer.
+
+        :param peer: The peer.
+        :param status: The new status.
+        :param now: Present time in seconds.
+        """
+        if (peer.status in GONE) != (status in GONE):
+            self._contacts = None
+        peer.status = status
+        peer.changed_at = now
 
     def list_reachable(self) -> tuple[PeerRecord, ...]:
         """List the peers worth sending to, in the order they were added."""
-        gone = (PeerStatus.DEAD, PeerStatus.LEFT)
         return tuple(
-            peer for peer in self.peers.values() if peer.status not in gone
+            peer for peer in self.peers.values() if peer.status not in GONE
         )
 
     def list_domain_peers(self) -> tuple[PeerRecord, ...]:
@@ -71,3 +102,47 @@
             for peer in self.list_reachable()
             if peer.failure_domain == self.node.failure_domain
         )
+
+    def list_contacts(self) -> tuple[PeerRecord, ...]:
+        """List the reachable peers that this node starts exchanges with."""
+        if self._contacts is None:
+            self._contacts = self._pick_contacts()
+        return self._contacts
+
+    def list_dead_contacts(self) -> tuple[PeerRecord, ...]:
+        """List the dead peers that this node tries again."""
+        dead = [
+            peer
+            for peer in self.peers.values()
+            if peer.status is PeerStatus.DEAD
+        ]
+        return tuple(sorted(dead, key=self._weigh_pair)[:DEAD_CONTACTS])
+
+    def _pick_contacts(self) -> tuple[PeerRecord, ...]:
+        reachable = self.list_reachable()
+        if len(reachable) <= CONTACTS:
+            return reachable
+        own = weigh_name(self.node.name)
+        ring = sorted(
+            reachable,
+            key=lambda peer: (
+                weigh_name(peer.name) < own,
+                weigh_name(peer.name),
+            ),
+        )
+        others = sorted(ring[RING_CONTACTS:], key=self._weigh_pair)
+        extra = others[: CONTACTS - RING_CONTACTS]
+        return (*ring[:RING_CONTACTS], *extra)
+
+    def _weigh_pair(self, peer: PeerRecord) -> bytes:
+        return weigh_name(f"{self.node.name} {peer.name}")
+
+
+@functools.lru_cache(maxsize=4096)
+def weigh_name(name: str) -> bytes:
+    """Hash a name for rendezvous hashing.
+
+    :param name: The name.
+    :returns: The hash, in an order that is the same at every node.
+    """
+    return hashlib.blake2b(name.encode(), digest_size=8).digest()
