Settle doubts about a peer with the peer itself

Six nodes whose first ping was lost were doubted before they had been heard of, with incarnation 0, and heard of the doubt only when their turn came, up to 16 s later.

--- a/packages/bluebellbay/bluebellbay/coordination/configuration.py
+++ b/packages/bluebellbay/bluebellbay/coordination/configuration.py
@@ -34,6 +34,9 @@
 
 PART = "configuration"
 JITTER = 0.2
+# A larger document is announced by a digest and sent to those who ask.
+MAX_PUSH_BYTES = 4096
+ASK_AGAIN_S = 0.5
 
 
 class ConfigurationPart(Part):
@@ -47,6 +50,8 @@
         self._watch = StoreWatch(state=state)
         self._next_digest_at: float | None = None
         self._writing: ConfigurationDocument | None = None
+        self._asked_revision = 0
+        self._asked_at = 0.0
 
     @property
     def handles(self) -> tuple[type, ...]:
@@ -219,7 +224,8 @@
             yield self._push_to(peer, now)
             return
         if digest.revision > own.revision:
-            yield self._digest_to(peer, now, wants_reply=True)
+            if self._should_ask(digest.revision, now):
+                yield self._digest_to(peer, now, wants_reply=True)
             return
         if own.document is None:
             return
@@ -231,6 +237,14 @@
         if digest.wants_reply:
             yield self._digest_to(peer, now)
 
+    def _should_ask(self, revision: int, now: float) -> bool:
+        was_asked = revision <= self._asked_revision
+        if was_asked and now - self._asked_at < ASK_AGAIN_S:
+            return False
+        self._asked_revision = revision
+        self._asked_at = now
+        return True
+
     def _take(
         self,
         document: ConfigurationDocument,
@@ -251,8 +265,10 @@
             source=source,
         )
         yield ConfigurationChanged(revision=document.revision)
+        is_small = len(encode_json(document)) <= MAX_PUSH_BYTES
+        announce = self._push_to if is_small else self._digest_to
         for peer in self._pick_peers():
-            yield self._push_to(peer, now)
+            yield announce(peer, now)
 
     def _send_round(self, now: float) -> Iterator[Step]:
         digest_s = self.state.settings.fleet.digest_s
--- a/packages/bluebellbay/bluebellbay/coordination/membership.py
+++ b/packages/bluebellbay/bluebellbay/coordination/membership.py
@@ -43,6 +43,7 @@
 INDIRECT_SHARE = 0.4
 SUSPECT_SHARE = 1.2
 INDIRECT_CONTACTS = 3
+MAX_SUSPECT_PINGS = 4
 # A longer silence of the node's own timers means that it was paused.
 PAUSE_PERIODS = 2.5
 FORGET_S = 60.0
@@ -55,6 +56,7 @@
     PeerStatus.DEAD: 3,
     PeerStatus.LEFT: 4,
 }
+_DOUBTS = frozenset({PeerStatus.SUSPECT, *GONE})
 
 
 class MembershipPart(Part):
@@ -142,6 +144,8 @@
         peer = self._probes.pick_next(self.state.fleet.list_contacts())
         if peer is not None:
             yield self._ping(peer, self._open_probe(peer, now))
+        for name in list(self._suspected)[:MAX_SUSPECT_PINGS]:
+            yield self._ping(self.state.fleet.peers[name], 0)
         dead = self.state.fleet.list_dead_contacts()
         if dead:
             yield self._ping(self.state.rng.choice(dead), 0)
@@ -193,6 +197,7 @@
             yield from self._believe(
                 peer, peer.incarnation, PeerStatus.SUSPECT, now
             )
+            yield self._ping(peer, 0)
 
     def _hear(
         self, sender: str, message: PeerMessage, now: float
@@ -275,12 +280,10 @@
             )
 
     def _refute(self, update: StatusUpdate) -> Iterator[Step]:
-        if update.incarnation < self._incarnation:
+        if update.status not in _DOUBTS:
             return
-        if update.status in (PeerStatus.ALIVE, PeerStatus.UNKNOWN):
-            return
-        self._incarnation = update.incarnation + 1
-        self._queue.put(self._describe_self())
+        self._incarnation = max(self._incarnation, update.incarnation + 1)
+        self._queue.put(self._describe_self(), urgent=True)
         yield LogDecision(
             part=PART,
             sentence="Refuted a belief about this node.",
@@ -295,6 +298,8 @@
         now: float,
     ) -> Iterator[Step]:
         if incarnation < peer.incarnation:
+            if status in _DOUBTS and peer.status is PeerStatus.ALIVE:
+                self._queue.put(_describe(peer), urgent=True)
             return
         is_newer = incarnation > peer.incarnation
         if not is_newer and _STRENGTH[status] <= _STRENGTH[peer.status]:
@@ -305,14 +310,13 @@
         if status is PeerStatus.SUSPECT:
             suspect_s = self.state.settings.fleet.suspect_s
             self._suspected[peer.name] = now + suspect_s
-        self._queue.put(
-            StatusUpdate(
-                name=peer.name, incarnation=incarnation, status=status
-            )
-        )
+        self.state.fleet.set_status(peer, status, now=now)
+        # What was never heard of is each node's own guess.
+        if incarnation:
+            urgent = status in _DOUBTS or was in _DOUBTS
+            self._queue.put(_describe(peer), urgent=urgent)
         if status is was:
             return
-        self.state.fleet.set_status(peer, status, now=now)
         yield LogDecision(
             part=PART,
             sentence=f"Peer is {status.value}.",
@@ -342,13 +346,7 @@
     def _take_updates(self, peer: PeerRecord) -> tuple[StatusUpdate, ...]:
         told = [self._describe_self()]
         if peer.status not in (PeerStatus.ALIVE, PeerStatus.UNKNOWN):
-            told.append(
-                StatusUpdate(
-                    name=peer.name,
-                    incarnation=peer.incarnation,
-                    status=peer.status,
-                )
-            )
+            told.append(_describe(peer))
         names = {update.name for update in told}
         queued = self._queue.take(
             fleet_size=len(self.state.fleet.peers) + 1,
@@ -390,3 +388,9 @@
         peer.failure_domain = entry.failure_domain
         peer.address = entry.address
         peer.peer_address = entry.peer_address
+
+
+def _describe(peer: PeerRecord) -> StatusUpdate:
+    return StatusUpdate(
+        name=peer.name, incarnation=peer.incarnation, status=peer.status
+    )
--- a/packages/bluebellbay/bluebellbay/coordination/status_queue.py
+++ b/packages/bluebellbay/bluebellbay/coordination/status_queue.py
@@ -9,17 +9,25 @@
 
 
 class StatusQueue:
-    """Passes each update on a bounded number of times, fresh ones first."""
+    """Passes each update on a bounded number of times.
+
+    Doubts and what settles them go first, then those sent the fewest times.
+    """
 
     def __init__(self) -> None:
         self._sends: dict[str, int] = {}
+        self._urgent: set[str] = set()
         self._updates: dict[str, StatusUpdate] = {}
 
-    def put(self, update: StatusUpdate) -> None:
+    def put(self, update: StatusUpdate, *, urgent: bool) -> None:
         """Pass an update on, in place of an older one on the same node.
 
         :param update: The update.
+        :param urgent: Whether it is a doubt, a verdict or a refutation.
         """
+        self._urgent.discard(update.name)
+        if urgent:
+            self._urgent.add(update.name)
         self._updates[update.name] = update
         self._sends[update.name] = 0
 
@@ -32,7 +40,7 @@
         """
         if not self._updates:
             return ()
-        names = sorted(self._sends, key=self._sends.__getitem__)
+        names = sorted(self._sends, key=self._rank)
         chosen = names[: min(room, MAX_STATUS_UPDATES)]
         taken = tuple(self._updates[name] for name in chosen)
         limit = RETRANSMIT_FACTOR * math.ceil(math.log2(fleet_size + 2))
@@ -42,3 +50,6 @@
                 del self._sends[name]
                 del self._updates[name]
         return taken
+
+    def _rank(self, name: str) -> tuple[bool, int]:
+        return name not in self._urgent, self._sends[name]
--- a/packages/bluebellbay/bluebellbay/state/fleet.py
+++ b/packages/bluebellbay/bluebellbay/state/fleet.py
@@ -84,6 +84,8 @@
         :param status: The new status.
         :param now: Present time in seconds.
         """
+        if peer.status is status:
+            return
         if (peer.status in GONE) != (status in GONE):
             self._contacts = None
         peer.status = status
