--- a/packages/bench/bluebellbay_bench/throughput.py
+++ b/packages/bench/bluebellbay_bench/throughput.py
@@ -156,7 +156,7 @@
     :param end_at: Monotonic time in seconds at which to stop.
     :returns: The latencies in seconds.
     """
-    latencies = []
+    latencies: list[float] = []
     while time.monotonic() < end_at:
         latencies.append(daemon.ask(len(latencies)))
     return latencies
