Encode log lines with msgspec and write bytes

Cause: after the parser, a decision's line was the largest single cost of a leg outside Twisted: structlog's encoder and a lookup of the logger a line (0.59 s of 8.2 s under cProfile for 3,047 lines).

--- a/packages/bluebellbayd/bluebellbayd/log.py
+++ b/packages/bluebellbayd/bluebellbayd/log.py
@@ -5,11 +5,15 @@
 import sys
 from typing import Any
 
+import msgspec
 import structlog
 
 from bluebellbay.protocol.command import LogDecision
 from bluebellbay.settings import LogSettings
 
+_ENCODER = msgspec.json.Encoder(enc_hook=str)
+_DECISIONS = structlog.get_logger()
+
 
 def configure_log(settings: LogSettings, *, node: str) -> None:
     """Set up logging to standard error.
@@ -19,10 +23,15 @@
     """
     as_json = settings.form == "json"
     renderer: Any = (
-        structlog.processors.JSONRenderer()
+        structlog.processors.JSONRenderer(serializer=_encode_line)
         if as_json
         else structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
     )
+    factory: Any = (
+        structlog.BytesLoggerFactory(file=sys.stderr.buffer)
+        if as_json
+        else structlog.WriteLoggerFactory(file=sys.stderr)
+    )
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
@@ -33,7 +42,7 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=factory,
         cache_logger_on_first_use=True,
     )
     if as_json:
@@ -48,9 +57,12 @@
     fields = {field.name: field.value for field in decision.fields}
     if decision.request_id:
         fields["request_id"] = decision.request_id
-    structlog.get_logger().info(
-        decision.sentence, part=decision.part, **fields
-    )
+    _DECISIONS.info(decision.sentence, part=decision.part, **fields)
+
+
+def _encode_line(line: Any, **options: Any) -> bytes:
+    del options
+    return _ENCODER.encode(line)
 
 
 def _prefix_sentence(
