Drive the spreading rules by scenarios over a loop in virtual time

Cause: nothing showed that no node goes back, that all converge after healing, or what membership costs and how often it errs. Ruled out: a cluster of processes for this; 480 don't fit a machine. Before: no scenario of several nodes.

--- a/packages/bench/bluebellbay_bench/spread_loop.py
+++ b/packages/bench/bluebellbay_bench/spread_loop.py
@@ -51,11 +51,15 @@
     :param messages: Messages that left a node.
     :param bytes: Their encoded size.
     :param store_calls: Times of the calls of the store, each watch as one.
+    :param dead: Times at which a peer was held for dead that was not running.
+    :param false_dead: Times at which one was that ran and could be reached.
     """
 
     messages: int = 0
     bytes: int = 0
     store_calls: list[float] = dataclasses.field(default_factory=list)
+    dead: list[float] = dataclasses.field(default_factory=list)
+    false_dead: list[float] = dataclasses.field(default_factory=list)
 
 
 class LoopStore:
@@ -133,8 +137,7 @@
         self.wake_at = 0.0
         self.is_running = True
         self.is_frozen = False
-        self.held: list[Event] = []
-        self.revisions: list[int] = []
+        self.highest = 0
 
     @property
     def revision(self) -> int:
@@ -162,6 +165,7 @@
         self.rng = random.Random(seed)
         self.seed = seed
         self.loss = loss
+        self.went_back = 0
         self.now = START_AT
         self.store = LoopStore()
         self.counts = Counts()
@@ -206,15 +210,12 @@
             self.nodes[name].is_running = False
 
     def thaw(self, name: str) -> None:
-        """Let a frozen node go on, with the messages that waited.
+        """Let a frozen node go on; what was sent to it meanwhile is lost.
 
         :param name: Its name.
         """
         node = self.nodes[name]
         node.is_frozen = False
-        held, node.held = node.held, []
-        for event in held:
-            self._step(node, event)
         self._step(node, TimePassed())
 
     def list_domain(self, domain: str) -> list[str]:
@@ -317,16 +318,12 @@
         heapq.heappush(self._heap, (time, self._order, action))
 
     def _step(self, node: LoopNode, event: Event) -> None:
-        if not node.is_running:
-            return
-        if node.is_frozen:
-            if not isinstance(event, TimePassed):
-                node.held.append(event)
+        if node.is_frozen or not node.is_running:
             return
         for command in node.core.step(event, self.now):
             self._carry_out(node, command)
-        if not node.revisions or node.revisions[-1] != node.revision:
-            node.revisions.append(node.revision)
+        self.went_back += node.revision < node.highest
+        node.highest = max(node.highest, node.revision)
         self._schedule_wake(node)
 
     def _schedule_wake(self, node: LoopNode) -> None:
@@ -344,9 +341,19 @@
                 self._call_store(node, command)
             case LogDecision():
                 self.decisions.append((self.now, node.name, command))
+                if command.sentence == "Peer is dead.":
+                    self._count_dead(node, command)
             case _:
                 pass
 
+    def _count_dead(self, node: LoopNode, command: LogDecision) -> None:
+        peer = self.nodes[command.fields[0].value]
+        link = (node.domain, peer.domain)
+        if not peer.is_running or peer.is_frozen:
+            self.counts.dead.append(self.now)
+        elif link not in self.cut_links:
+            self.counts.false_dead.append(self.now)
+
     def _send(self, node: LoopNode, command: SendPeer) -> None:
         node.sequence += 1
         data = encode_peer(
