Let the histories restore the store more often

Before: histories stayed green with nodes that go back. Conclusion: the first document is kept from the start, and histories are of 4 to 14 steps.

--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -214,6 +214,7 @@
         self.saved = None
         self.changes = 0
         self.change(0)
+        self.save(0)
         self.loop.start()
         self.loop.run(2.0)
 
@@ -253,8 +254,7 @@
         self.saved = self.loop.store.value
 
     def restore(self, number):
-        if self.saved is not None:
-            self.loop.store.put(self.saved)
+        self.loop.store.put(self.saved)
 
     def replace(self, number):
         name = f"entry-{number % HISTORY_NODES + 1}"
@@ -315,7 +315,8 @@
     @hypothesis.given(
         strategies.lists(
             strategies.tuples(ACTIONS, strategies.integers(0, 41)),
-            max_size=12,
+            min_size=4,
+            max_size=14,
         )
     )
     def check(actions):
