--- a/packages/bluebellbay/bluebellbay/coordination/census.py
+++ b/packages/bluebellbay/bluebellbay/coordination/census.py
@@ -6,9 +6,11 @@
 
 - A node that is admitted counts every other that is. A node is admitted
   once all that it knows of count it too, with their connections within the
-  smaller shares. While there are no more nodes than the settings name, the
-  word of one admitted node is enough, or a list of VMs that was read long
-  enough after the start to show every other.
+  smaller shares. While there are no more nodes than the settings name, it
+  need not wait for those that are silent. In both cases it needs the word
+  of an admitted node, which remembers those that were there before; where
+  there is none, it waits until their connections must have ended, and reads
+  the platform's list again.
 - A node is counted no longer only after its own word that it has closed its
   connections, or once the platform's list has left it out, and nothing has
   been heard of it, for as long as connections may linger.
@@ -28,6 +30,7 @@
     heard_at: float
     missing_since: float | None = None
     counts: frozenset[str] | None = None
+    remembers: bool = False
     vouches: bool = False
 
 
@@ -137,7 +140,8 @@
             if counts_me
             else None
         )
-        member.vouches = counts_me and notice.admitted and notice.expected
+        member.remembers = counts_me and notice.admitted
+        member.vouches = member.remembers and notice.expected
 
     def take_stopped(self, sender: str, token: int) -> None:
         """Take a node's word that it has closed its connections.
@@ -200,13 +204,15 @@
         if self._list_read_at is None or self._started_at is None:
             return False
         wanted = frozenset((self._name, *self._members))
-        if all(
+        members = self._members.values()
+        is_late = self._list_read_at >= self._started_at + self._linger_s
+        remembered = is_late or any(member.remembers for member in members)
+        counted = all(
             member.counts is not None and member.counts >= wanted
-            for member in self._members.values()
-        ):
+            for member in members
+        )
+        if counted and remembered:
             return True
         if len(wanted) > self._least_size:
             return False
-        if any(member.vouches for member in self._members.values()):
-            return True
-        return self._list_read_at >= self._started_at + self._linger_s
+        return is_late or any(member.vouches for member in members)
--- a/packages/standins/bluebellbay_standins/cluster.py
+++ b/packages/standins/bluebellbay_standins/cluster.py
@@ -27,6 +27,8 @@
 
 STORE_LINK = "store"
 VM_LIST_LINK = "vm-list"
+# The connections of a process that ends are closed by its machine.
+CONNECTION_LINGER_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -279,6 +281,10 @@
             ],
             "peers": peers,
             **self.shape.settings,
+            "fleet": {
+                "connection_linger_s": CONNECTION_LINGER_S,
+                **self.shape.settings.get("fleet", {}),
+            },
         }
 
     def _describe_store(self) -> HostSpec:
