Prove kills, bad input and at most once over processes

Cause: the promises had no scenario over separate processes. These ones found that a posting met by a store out of service was answered delay-passed-unsent and never store-unavailable: the query's delay and the claim's own limit end at the same time, and the query part is told first. Ruled out: answering earlier than the delay; the store may come back within it. Conclusion: a scenario first asked that a posting beside a cut-off domain runs exactly once; it was wrong, since a server behind the cut may be chosen and the honest answer is then unknown. It now asks that the posting ran as its callers were told: once if any was told answered, never if all were told not-run, and never twice.

--- /dev/null
+++ b/features/posting.feature
@@ -0,0 +1,132 @@
+Feature: A request that is not repeatable runs at most once over processes
+
+  Background:
+    Given a cluster of daemons over processes
+
+  Scenario: Four entry VMs get the same posting at once
+    When the posting is sent to every entry VM at once
+    Then it ran exactly once
+    And a caller was told that it is answered
+    When the posting is sent to every entry VM in turn
+    Then it ran exactly once
+    And every caller in turn was told that it is answered
+
+  Scenario Outline: The store loses answers after its writes took effect
+    When the store loses its next <lost> answers to writes
+    And the posting is sent to <entries>
+    Then it ran as its callers were told
+
+    Examples:
+      | lost | entries                   |
+      | 1    | entry-1                   |
+      | 2    | entry-1                   |
+      | 5    | every entry VM at once    |
+
+  Scenario Outline: The store is out of service before the claim
+    When the store's outage is <outage>
+    And the posting is sent to every entry VM at once
+    Then every caller was told not-run as store-unavailable
+    And it never ran
+    When the store's outage is none
+    And the posting is sent to every entry VM in turn
+    Then it ran exactly once
+
+    Examples:
+      | outage |
+      | refuse |
+      | hang   |
+
+  Scenario: The store goes out of service while the posting runs
+    Given postings run for 1 s at the servers
+    When the posting is begun at entry-1
+    And the posting is seen to run
+    And the store's outage is refuse
+    And the posting is sent to entry-2
+    Then the last caller was told not-run or unknown
+    When the posting begun at entry-1 is answered
+    And the store's outage is none
+    And the posting is sent to entry-3
+    Then it ran exactly once
+
+  Scenario: An entry VM is frozen past the expiry between claim and send
+    Given the store answers 1.5 s after a write
+    When a posting that expires in 3 s is begun at entry-1
+    And its claim is seen in the store
+    And entry-1 is frozen until the posting has expired, then thawed
+    And the posting begun at entry-1 is answered
+    Then it never ran
+    And no backend server saw its leg
+
+  Scenario: The store's answer to a claim is held past the expiry
+    When a posting that expires in 3 s is begun behind a held answer at entry-1
+    And its claim is seen in the store
+    And the posting expires and the held answer is let go
+    And the posting begun at entry-1 is answered
+    Then it never ran
+    And no backend server saw its leg
+
+  Scenario Outline: An entry VM is killed on the way
+    Given postings run for 1 s at the servers
+    And the store answers <delay> s after a write
+    When the posting is begun at entry-1
+    And <step>
+    And entry-1 is killed
+    And the posting is sent to entry-2
+    And the posting is sent to entry-3
+    Then <ran>
+
+    Examples:
+      | delay | step                                     | ran                 |
+      | 1     | its claim is seen in the store           | it never ran        |
+      | 0     | the posting is seen to run               | it ran exactly once |
+      | 0     | the posting begun at entry-1 is answered | it ran exactly once |
+
+  Scenario Outline: The reply of a server is lost
+    Given the next reply of every server is told to <fault>
+    When the posting is sent to entry-1
+    Then it ran exactly once
+    And the last caller was told that the outcome is unknown
+    When the posting is sent to entry-2
+    Then it ran exactly once
+    And the last caller was told that the outcome is unknown
+
+    Examples:
+      | fault            |
+      | lose_replies     |
+      | truncate_replies |
+      | failed_replies   |
+      | foreign_replies  |
+
+  Scenario Outline: Every server refuses, then takes it
+    Given every server is told {"<refusal>": <value>}
+    When the posting is sent to entry-1
+    Then every caller was told not-run as refused-by-servers
+    And it never ran
+    Given every server is told {"<refusal>": <back>}
+    When the posting is sent to entry-2 until it is answered
+    Then it ran exactly once
+
+    Examples:
+      | refusal    | value | back  |
+      | shed_share | 1     | 0     |
+      | leaving    | true  | false |
+
+  Scenario Outline: A failure domain is cut off
+    When failure domain mazowsze-b is cut off by <mode>
+    And the posting is sent to entry-2
+    Then every caller was told not-run as store-unavailable
+    And it never ran
+    When the posting is sent to entry-1
+    Then it ran as its callers were told
+    When failure domain mazowsze-b is joined again
+    And the posting is sent to every entry VM at once
+    Then it ran as its callers were told
+
+    Examples:
+      | mode |
+      | drop |
+      | hold |
+
+  Scenario: Postings survive a storm of faults
+    When 120 postings are sent and sent again through seeded faults
+    Then none ran twice, and none ran of which every caller was told not-run
--- /dev/null
+++ b/features/steps/posting_steps.py
@@ -0,0 +1,309 @@
+"""Steps about requests that are not repeatable, over processes."""
+
+import collections
+import concurrent.futures
+import json
+import random
+import time
+
+import behave
+from process_world import ENTRIES
+from process_world import list_unexpected
+from process_world import Posting
+from process_world import POSTING_SERVERS
+from process_world import SEED
+
+from bluebellbay_standins.process import wait_until
+
+TRIES = 40
+RETRY_PAUSE_S = 0.25
+STORM_CALLERS = 6
+STORM_TRIES = 4
+CLAIM_LINK = "mazowsze-a/store"
+
+
+def find_posting(context):
+    if not hasattr(context, "posting"):
+        context.posting = Posting(context.cluster)
+    return context.posting
+
+
+@behave.when("the posting is sent to every entry VM at once")
+def send_at_once(context):
+    posting = find_posting(context)
+    context.replies = posting.send_at_once(ENTRIES)
+
+
+@behave.when("the posting is sent to every entry VM in turn")
+def send_in_turn(context):
+    posting = find_posting(context)
+    context.replies = [posting.send(entry) for entry in ENTRIES]
+
+
+@behave.when("the posting is sent to entry-{number:d}")
+def send_one(context, number):
+    reply = find_posting(context).send(f"entry-{number}")
+    context.replies = [reply]
+
+
+@behave.when("the posting is sent to entry-{number:d} until it is answered")
+def send_until_answered(context, number):
+    posting = find_posting(context)
+    for _ in range(TRIES):
+        reply = posting.send(f"entry-{number}")
+        if reply.body["outcome"] == "answered":
+            return
+        time.sleep(RETRY_PAUSE_S)
+    raise AssertionError(posting.describe())
+
+
+@behave.when("the posting is begun at {entry}")
+def begin(context, entry):
+    find_posting(context).begin(entry)
+
+
+@behave.when("a posting that expires in {life_s:d} s is begun at {entry}")
+def begin_short(context, life_s, entry):
+    context.posting = Posting(context.cluster, life_s=life_s)
+    context.posting.begin(entry)
+
+
+@behave.when(
+    "a posting that expires in {life_s:d} s is begun behind a held answer "
+    "at entry-1"
+)
+def begin_held(context, life_s):
+    context.cluster.set_links((CLAIM_LINK,), forth="pass", back="hold")
+    begin_short(context, life_s, "entry-1")
+
+
+@behave.when("its claim is seen in the store")
+def see_claim(context):
+    wait_until(context.posting.is_claimed, "the claim to be written")
+
+
+@behave.when("the posting is seen to run")
+def see_running(context):
+    wait_until(lambda: context.posting.count() > 0, "the posting to run")
+
+
+@behave.when("the posting begun at {entry} is answered")
+def finish(context, entry):
+    context.replies = [context.posting.pending[entry].result()]
+
+
+def wait_until_expired(context):
+    expires_at = context.posting.expires_at
+    wait_until(lambda: time.time() > expires_at, "the posting to expire")
+
+
+@behave.when("{entry} is frozen until the posting has expired, then thawed")
+def freeze(context, entry):
+    child = context.cluster.daemons[entry].child
+    child.freeze()
+    wait_until_expired(context)
+    child.thaw()
+
+
+@behave.when("the posting expires and the held answer is let go")
+def let_go(context):
+    wait_until_expired(context)
+    context.cluster.set_links((CLAIM_LINK,), forth="pass", back="pass")
+
+
+@behave.when("{entry} is killed")
+def kill(context, entry):
+    context.cluster.daemons[entry].child.kill()
+
+
+@behave.when("the store loses its next {lost:d} answers to writes")
+def lose_answers(context, lost):
+    context.cluster.control_store(lose_answers=lost)
+
+
+@behave.when("the store's outage is {outage}")
+def set_outage(context, outage):
+    context.cluster.control_store(outage=outage)
+
+
+@behave.given("the store answers {delay_s:g} s after a write")
+def delay_answers(context, delay_s):
+    context.cluster.control_store(answer_delay_s=delay_s)
+
+
+@behave.given("postings run for {time_s:g} s at the servers")
+def slow_down(context, time_s):
+    tell_servers(context, {"median_ms": time_s * 1000, "spread": 0})
+
+
+@behave.given("the next reply of every server is told to {fault}")
+def break_reply(context, fault):
+    tell_servers(context, {fault: 1})
+
+
+@behave.given("every server is told {changes}")
+def tell_all(context, changes):
+    tell_servers(context, json.loads(changes))
+
+
+def tell_servers(context, changes):
+    for name in POSTING_SERVERS:
+        context.cluster.control_backend(name, **changes)
+
+
+@behave.when("failure domain {domain} is cut off by {mode}")
+def cut_off(context, domain, mode):
+    context.cluster.cut_domain(domain, mode)
+
+
+@behave.when("failure domain {domain} is joined again")
+def join(context, domain):
+    context.cluster.cut_domain(domain, "pass")
+
+
+@behave.then("it ran exactly once")
+def check_once(context):
+    check_count(context, (1,))
+
+
+@behave.then("it never ran")
+def check_never(context):
+    check_count(context, (0,))
+
+
+@behave.then("it ran as its callers were told")
+def check_told(context):
+    check_count(context, find_allowed(context.posting))
+
+
+def check_count(context, allowed):
+    ran = context.posting.count()
+    assert ran in allowed, (ran, context.posting.describe())
+    assert not list_unexpected(context.cluster)
+
+
+def find_allowed(posting):
+    """Name how often it may have run, by what its callers were told."""
+    if "answered" in posting.outcomes:
+        return (1,)
+    if set(posting.outcomes) == {"not-run"}:
+        return (0,)
+    return (0, 1)
+
+
+@behave.then("no backend server saw its leg")
+def check_no_leg(context):
+    counts = context.cluster.read_backend_counts()
+    expired = sum(
+        counts[name]["refused"].get("expired", 0) for name in POSTING_SERVERS
+    )
+    assert expired == 0, counts
+
+
+@behave.then("a caller was told that it is answered")
+def check_answered(context):
+    outcomes = context.posting.outcomes
+    assert "answered" in outcomes, context.posting.describe()
+    assert set(outcomes) <= {"answered", "unknown"}, outcomes
+
+
+@behave.then("every caller in turn was told that it is answered")
+def check_all_answered(context):
+    outcomes = [reply.body["outcome"] for reply in context.replies]
+    assert outcomes == ["answered"] * len(ENTRIES), outcomes
+
+
+@behave.then("every caller was told not-run as {kind}")
+def check_all_not_run(context, kind):
+    for reply in context.replies:
+        assert reply.body["outcome"] == "not-run", reply
+        assert reply.body["error"]["kind"] == kind, reply
+
+
+@behave.then("the last caller was told not-run or unknown")
+def check_not_known(context):
+    outcome = context.replies[-1].body["outcome"]
+    assert outcome in ("not-run", "unknown"), context.replies
+
+
+@behave.then("the last caller was told that the outcome is unknown")
+def check_unknown(context):
+    body = context.replies[-1].body
+    assert body["outcome"] == "unknown", body
+    assert body["error"]["ran"] == "perhaps", body
+
+
+@behave.when(
+    "{count:d} postings are sent and sent again through seeded faults"
+)
+def send_storm(context, count):
+    cluster = context.cluster
+    rng = random.Random(SEED)
+    context.postings = [Posting(cluster) for _ in range(count)]
+
+    def send(posting):
+        for entry in rng.sample(ENTRIES, STORM_TRIES):
+            reply = posting.send(entry)
+            if reply.body["outcome"] == "answered":
+                return
+
+    with concurrent.futures.ThreadPoolExecutor(STORM_CALLERS) as pool:
+        pending = [pool.submit(send, item) for item in context.postings]
+        while not all(item.done() for item in pending):
+            inject_fault(context, rng)
+        for item in pending:
+            item.result()
+
+
+def inject_fault(context, rng):
+    """Bring one fault for a while, then take it back."""
+    cluster = context.cluster
+    server = rng.choice(POSTING_SERVERS)
+    domain = rng.choice(("mazowsze-a", "mazowsze-b", "mazowsze-c"))
+    entry = rng.choice(ENTRIES)
+    fault = rng.choice(
+        ("store", "answers", "reply", "slow", "cut", "freeze", "kill")
+    )
+    length_s = rng.uniform(0.2, 0.8)
+    if fault == "store":
+        cluster.control_store(outage=rng.choice(("refuse", "hang")))
+        time.sleep(length_s)
+        cluster.control_store(outage="none")
+    elif fault == "answers":
+        cluster.control_store(lose_answers=rng.randint(1, 4))
+    elif fault == "reply":
+        name = rng.choice(("lose_replies", "truncate_replies"))
+        cluster.control_backend(server, **{name: 2})
+    elif fault == "slow":
+        cluster.control_backend(server, straggle_factor=200)
+        time.sleep(length_s)
+        cluster.control_backend(server, straggle_factor=1)
+    elif fault == "cut":
+        cluster.cut_domain(domain, rng.choice(("drop", "hold")))
+        time.sleep(length_s)
+        cluster.cut_domain(domain, "pass")
+    elif fault == "freeze":
+        cluster.daemons[entry].child.freeze()
+        time.sleep(length_s)
+        cluster.daemons[entry].child.thaw()
+    else:
+        cluster.daemons[entry].child.kill()
+        cluster.daemons[entry].start()
+        cluster.daemons[entry].wait_until_healthy()
+
+
+@behave.then(
+    "none ran twice, and none ran of which every caller was told not-run"
+)
+def check_storm(context):
+    runs = collections.Counter()
+    for counts in context.cluster.read_backend_counts().values():
+        runs.update(counts["executions_by_request"])
+    outcomes = collections.Counter()
+    for posting in context.postings:
+        outcomes.update(posting.outcomes)
+        ran = runs[posting.request_id]
+        assert ran in find_allowed(posting), (ran, posting.describe())
+    assert outcomes["answered"] > 0, outcomes
+    assert not list_unexpected(context.cluster)
+    print(f"outcomes {dict(outcomes)}")
--- /dev/null
+++ b/features/steps/process_steps.py
@@ -0,0 +1,193 @@
+"""Steps about kills, and bad input, over separate processes."""
+
+import itertools
+import time
+
+import behave
+from process_world import answers_all
+from process_world import list_unexpected
+from process_world import start_cluster
+
+from bluebellbay_standins.client import call
+from bluebellbay_standins.fleet import FIRST_SNAPSHOT
+from bluebellbay_standins.load import Query
+from bluebellbay_standins.load import send_query
+from bluebellbay_standins.load import SteadyLoad
+from bluebellbay_standins.process import wait_until
+
+CALLERS = 6
+SETTLED_SAMPLES = 60
+OVERSIZED_BYTES = 65537
+SOON_S = 60
+
+
+@behave.given("a cluster of daemons over processes")
+def start(context):
+    context.cluster = start_cluster(context)
+    context.down = {}
+
+
+@behave.when("callers query press-desk without pause")
+def start_load(context):
+    entries = itertools.cycle(context.cluster.daemons)
+    profiles = itertools.cycle((("whole", 1.0), ("some", 0.0)))
+
+    def draw(_):
+        profile, floor = next(profiles)
+        return Query(
+            entry=next(entries),
+            index="press-desk",
+            profile=profile,
+            coverage_floor=floor,
+        )
+
+    context.load = SteadyLoad(
+        cluster=context.cluster, draw=draw, callers=CALLERS
+    )
+    context.load.start()
+    context.add_cleanup(context.load.stop)
+    wait_until_settled(context)
+
+
+def wait_until_settled(context, ignored=()):
+    """Wait until a run of queries is answered whole."""
+    begun_at = time.time()
+
+    def settled():
+        done = [
+            sample
+            for sample in list(context.load.samples)
+            if sample.began_at > begun_at and sample.query.entry not in ignored
+        ]
+        last = done[-SETTLED_SAMPLES:]
+        whole = [sample.outcome == "answered" for sample in last]
+        return len(last) == SETTLED_SAMPLES and all(whole)
+
+    wait_until(settled, "queries to be answered whole again")
+
+
+@behave.when("entry-2 is killed and started again")
+def kill_entry(context):
+    daemon = context.cluster.daemons["entry-2"]
+    killed_at = time.time()
+    daemon.child.kill()
+    wait_until_settled(context, ignored=("entry-2",))
+    daemon.start()
+    daemon.wait_until_healthy()
+    wait_until(
+        lambda: answers_all(context.cluster, ("entry-2",)), "entry-2 to answer"
+    )
+    context.down["entry-2"] = (killed_at, time.time())
+    wait_until_settled(context)
+
+
+@behave.when("the process of server {name} is killed and started again")
+def kill_server(context, name):
+    host = context.cluster.find_backend_host(name)
+    host.child.kill()
+    wait_until_settled(context)
+    host.start()
+    wait_until_settled(context)
+
+
+@behave.when("the store's process is killed and started again")
+def kill_store(context):
+    host = context.cluster.store_host
+    host.child.kill()
+    wait_until_settled(context)
+    host.start()
+    wait_until_settled(context)
+
+
+@behave.when("the callers stop")
+def stop_load(context):
+    context.samples = context.load.stop()
+
+
+@behave.then("every answer is true, whole and its caller's own")
+def check_answers(context):
+    for sample in context.samples:
+        faults = sample.find_faults((FIRST_SNAPSHOT,))
+        assert not faults, (sample, faults)
+
+
+@behave.then("only exchanges with {entry} broke, and none while it was up")
+def check_broken(context, entry):
+    killed_at, up_at = context.down[entry]
+    for sample in context.samples:
+        if sample.outcome != "broken":
+            continue
+        assert sample.query.entry == entry, sample
+        ended_at = sample.began_at + sample.latency_s
+        assert ended_at >= killed_at and sample.began_at <= up_at, sample
+
+
+@behave.then("no daemon met an error that it did not expect")
+def check_logs(context):
+    assert not list_unexpected(context.cluster)
+
+
+def query_until(context, entry, profile, accept):
+    """Query until an answer is accepted, and keep all answers."""
+    context.samples = getattr(context, "samples", [])
+
+    def ask():
+        query = Query(
+            entry=entry, index="press-desk", profile=profile, coverage_floor=0
+        )
+        sample = send_query(context.cluster, query)
+        context.samples.append(sample)
+        return sample.reply is not None and accept(sample.reply.body)
+
+    wait_until(ask, f"{entry} to answer as wanted")
+
+
+@behave.then(
+    "queries at {entry} come to cover exactly the {share:g} within its domain"
+)
+def check_partial(context, entry, share):
+    query_until(
+        context,
+        entry,
+        "some",
+        lambda body: body["coverage"]["fraction"] == share,
+    )
+
+
+@behave.then("queries at {entry} come to be answered whole")
+def check_whole(context, entry):
+    query_until(
+        context, entry, "whole", lambda body: body["outcome"] == "answered"
+    )
+
+
+@behave.then("every answer meanwhile was true")
+def check_meanwhile(context):
+    check_answers(context)
+
+
+def count_legs(cluster):
+    counts = cluster.read_backend_counts()
+    return {name: count["legs"] for name, count in counts.items()}
+
+
+def build_body(text):
+    if text == "OVERSIZED":
+        return b'"' + b"x" * OVERSIZED_BYTES + b'"'
+    return text.replace("SOON", str(time.time() + SOON_S)).encode()
+
+
+@behave.then("each of these is told not-run and no backend server sees a leg")
+def check_bad_input(context):
+    cluster = context.cluster
+    before = count_legs(cluster)
+    address = cluster.daemons["entry-1"].address
+    for row in context.table:
+        path = f"/v1/query/{row['index']}"
+        reply = call(address, "POST", path, build_body(row["body"]))
+        body = reply.body
+        seen = (str(reply.status), body["outcome"], body["error"]["kind"])
+        assert seen == (row["status"], "not-run", row["kind"]), (row, reply)
+        assert body["error"]["ran"] == "no", body
+        assert not body["rows"], body
+        assert count_legs(cluster) == before, row
--- /dev/null
+++ b/features/steps/process_world.py
@@ -0,0 +1,125 @@
+"""A small cluster of processes, for the steps about them."""
+
+import concurrent.futures
+import json
+import time
+import uuid
+
+from bluebellbay.protocol.claim import name_claim_key
+from bluebellbay.protocol.profile import Profile
+from bluebellbay_standins.client import call
+from bluebellbay_standins.client import Reply
+from bluebellbay_standins.cluster import Cluster
+from bluebellbay_standins.cluster import ClusterShape
+from bluebellbay_standins.fleet import MAZOWSZE
+from bluebellbay_standins.fleet import SMALL
+from bluebellbay_standins.load import Query
+from bluebellbay_standins.load import send_queries
+from bluebellbay_standins.process import wait_until
+
+SEED = 17
+LIFE_S = 60.0
+STORE_TIMEOUT_S = 2.5
+POSTING_SERVERS = ("ledgerrun-a", "ledgerrun-b", "ledgerrun-c")
+ENTRIES = ("entry-1", "entry-2", "entry-3", "entry-4")
+PROFILES = (
+    Profile(name="whole", coverage_floor=1.0, delay_ms=5000, extra_load=0.2),
+    Profile(name="some", coverage_floor=0.0, delay_ms=2000, extra_load=0.05),
+    Profile(name="settlement", delay_ms=4000, extra_load=0.0),
+)
+
+
+def start_cluster(context):
+    """Start everything and wait until every entry VM answers."""
+    shape = ClusterShape(
+        fleets=(SMALL,),
+        entry_domains=(*MAZOWSZE, MAZOWSZE[0]),
+        alone=("press-desk-02-a",),
+        links=True,
+        seed=SEED,
+        settings={
+            "log": {"form": "json", "decisions": True},
+            "policy": {"health_poll_s": 0.5},
+            "platform": {"store_timeout_s": STORE_TIMEOUT_S},
+        },
+    )
+    cluster = Cluster(shape=shape)
+    context.add_cleanup(cluster.close)
+    cluster.start_platform()
+    cluster.seed_profiles(PROFILES)
+    cluster.start_daemons()
+    cluster.wait_until_healthy()
+    wait_until(lambda: answers_all(cluster, ENTRIES), "every entry to answer")
+    return cluster
+
+
+def answers_all(cluster, entries):
+    queries = [
+        Query(entry=entry, index=index, profile="whole", coverage_floor=1.0)
+        for entry in entries
+        for index in ("press-desk", "ledgerrun")
+    ]
+    samples = send_queries(cluster, queries, callers=2)
+    return all(sample.outcome == "answered" for sample in samples)
+
+
+class Posting:
+    """One request that is not repeatable, and what its callers got."""
+
+    def __init__(self, cluster, life_s=LIFE_S):
+        self.cluster = cluster
+        self.request_id = f"posting-{uuid.uuid4().hex}"
+        self.expires_at = time.time() + life_s
+        self.replies = []
+        self.pending = {}
+        self._pool = concurrent.futures.ThreadPoolExecutor(8)
+
+    def send(self, entry):
+        try:
+            reply = self.cluster.query(
+                entry,
+                "ledgerrun",
+                request_id=self.request_id,
+                profile="settlement",
+                query={"lot": 7},
+                repeatable=False,
+                expires_at=self.expires_at,
+            )
+        except OSError:
+            reply = Reply(status=0, body={"outcome": "broken"})
+        self.replies.append(reply)
+        return reply
+
+    def begin(self, entry):
+        self.pending[entry] = self._pool.submit(self.send, entry)
+
+    def send_at_once(self, entries):
+        for entry in entries:
+            self.begin(entry)
+        return [self.pending[entry].result() for entry in entries]
+
+    @property
+    def outcomes(self):
+        return [reply.body["outcome"] for reply in self.replies]
+
+    def count(self):
+        return self.cluster.count_executions(self.request_id)
+
+    def is_claimed(self):
+        keys = call(self.cluster.store, "GET", "/control/keys").body
+        wanted = name_claim_key(self.request_id)
+        return wanted in [entry["key"] for entry in keys]
+
+    def describe(self):
+        answers = [json.dumps(reply.body) for reply in self.replies]
+        return f"{self.request_id}: {answers}"
+
+
+def list_unexpected(cluster):
+    """List lines of daemons' logs that tell of errors."""
+    return [
+        f"{name}: {line}"
+        for name, daemon in cluster.daemons.items()
+        for line in daemon.child.read_log().splitlines()
+        if "Event failed" in line or "Traceback" in line
+    ]
--- a/packages/bluebellbay/bluebellbay/coordination/posting.py
+++ b/packages/bluebellbay/bluebellbay/coordination/posting.py
@@ -219,14 +219,14 @@
         )
 
     def refuse_unsent(self, now: float) -> None:
-        """Answer that the delay passed before anything was sent.
+        """Answer that the store took no claim before the delay passed.
 
         :param now: Present time in seconds.
         """
         proof = self.ledger.prove_nothing_ran()
         self.conclude(
             self._dispatcher.build_not_run(
-                self, NotRunKind.DELAY_PASSED_UNSENT, proof.value, now
+                self, NotRunKind.STORE_UNAVAILABLE, proof.value, now
             )
         )
 
--- a/packages/standins/bluebellbay_standins/process.py
+++ b/packages/standins/bluebellbay_standins/process.py
@@ -185,9 +185,17 @@
 
     def start(self) -> None:
         """Start the process and wait until it listens."""
+        self.begin()
+        self.wait_until_ready()
+
+    def begin(self) -> None:
+        """Start the process without waiting for it."""
         self._ready_path.unlink(missing_ok=True)
         write_yaml(self._spec_path, self._spec)
         self.child.start()
+
+    def wait_until_ready(self) -> None:
+        """Wait until the process listens, and read where."""
         wait_until(self._is_ready, f"{self.child.name} to listen")
         data = self._ready_path.read_bytes()
         self.report = msgspec.json.decode(data, type=HostReport)
