Prove the configuration over separate processes under faults

Cause: nothing showed operators' changes over real sockets and faults. Ruled out: nothing. Before: no scenario.

--- /dev/null
+++ b/features/steps/configuration_faults_steps.py
@@ -0,0 +1,261 @@
+"""Steps about the configuration over separate processes."""
+
+import concurrent.futures
+import json
+
+import behave
+
+from bluebellbay_standins.client import call
+from bluebellbay_standins.cluster import Cluster
+from bluebellbay_standins.cluster import ClusterShape
+from bluebellbay_standins.cluster import STORE_LINK
+from bluebellbay_standins.cluster import VM_LIST_LINK
+from bluebellbay_standins.fleet import MAZOWSZE
+from bluebellbay_standins.fleet import SMALL
+from bluebellbay_standins.operator_command import run_command
+from bluebellbay_standins.process import wait_until
+
+SLOW_STORE_S = 2.0
+START_TIMEOUT_S = 60.0
+RACES = 5
+CONFLICT = 4
+NOT_CONFIRMED = 6
+PROFILE = "batch"
+FIRST_DELAY_MS = 100
+
+
+@behave.given("four entry VMs run as processes with an accepted profile")
+def start_cluster(context):
+    shape = ClusterShape(
+        fleets=(SMALL,),
+        entry_domains=(*MAZOWSZE, MAZOWSZE[0]),
+        links=True,
+        settings={"shutdown": {"balancer_lag_s": 0}},
+    )
+    context.cluster = cluster = Cluster(shape=shape)
+    context.add_cleanup(cluster.close)
+    cluster.start_platform()
+    cluster.start_daemons()
+    context.seen = {}
+    context.delay_ms = FIRST_DELAY_MS
+    for daemon in cluster.daemons.values():
+        wait_until(
+            lambda daemon=daemon: daemon.probe("/v1/status").status == 200,
+            f"{daemon.name} to listen",
+            START_TIMEOUT_S,
+        )
+    done = set_delay(context, "entry-1", FIRST_DELAY_MS, 30)
+    assert done.exit_code == 0, done
+    wait_in_force(context, FIRST_DELAY_MS, 10)
+
+
+def set_delay(context, entry, delay_ms, wait_s):
+    return run_command(
+        context.cluster.daemons[entry].settings_path,
+        "profile",
+        "set",
+        PROFILE,
+        "--delay-ms",
+        str(delay_ms),
+        "--wait",
+        f"{wait_s:g}",
+        "--json",
+    )
+
+
+def read_delay(context, name):
+    daemon = context.cluster.daemons[name]
+    reply = daemon.probe("/v1/configuration")
+    if reply.status != 200:
+        return None
+    context.seen.setdefault(name, []).append(reply.body["revision"])
+    return find_delay(reply.body)
+
+
+def find_delay(document):
+    return next(
+        record["profile"]["delay_ms"]
+        for record in document["profiles"]
+        if record["name"] == PROFILE
+    )
+
+
+def wait_in_force(context, delay_ms, timeout_s):
+    wait_until(
+        lambda: all(
+            read_delay(context, name) == delay_ms
+            for name in context.cluster.daemons
+        ),
+        f"a delay of {delay_ms} ms in force everywhere",
+        timeout_s,
+    )
+
+
+def read_stored(context):
+    reply = call(
+        context.cluster.store, "GET", "/v1/keys/bluebellbay/configuration"
+    )
+    return json.loads(reply.body["value"])
+
+
+@behave.when("two operators change that profile at the same moment")
+def race(context):
+    context.cluster.control_store(delay_s=SLOW_STORE_S / 4)
+    for number in range(RACES):
+        delays = (200 + number, 300 + number)
+        with concurrent.futures.ThreadPoolExecutor(2) as pool:
+            done = list(
+                pool.map(
+                    lambda pair: set_delay(context, pair[0], pair[1], 30),
+                    zip(("entry-1", "entry-2"), delays, strict=True),
+                )
+            )
+        context.race = dict(zip(delays, done, strict=True))
+        if sorted(item.exit_code for item in done) != [0, 0]:
+            return
+
+
+@behave.then("one of them is told of the conflict and of the other's change")
+def check_conflict(context):
+    codes = sorted(item.exit_code for item in context.race.values())
+    assert codes == [0, CONFLICT], context.race
+    lost = next(it for it in context.race.values() if it.exit_code == CONFLICT)
+    assert f"profile set {PROFILE}" in lost.output + lost.errors, lost
+
+
+@behave.then(
+    "the winner's change is in force at all four and nothing else changed"
+)
+def check_winner(context):
+    context.cluster.control_store(delay_s=0.0)
+    won = next(
+        delay for delay, it in context.race.items() if it.exit_code == 0
+    )
+    wait_in_force(context, won, 10)
+    stored = read_stored(context)
+    assert find_delay(stored) == won, stored
+    assert len(stored["profiles"]) == 1, stored
+
+
+def set_platform_links(context, domain, mode, names):
+    links = tuple(f"{domain}/{name}" for name in names)
+    context.cluster.set_links(links, forth=mode, back=mode)
+
+
+@behave.when(
+    'a change is accepted while only domain "{domain}" reaches the store'
+)
+def accept_in_one(context, domain):
+    for other in MAZOWSZE:
+        if other != domain:
+            set_platform_links(context, other, "drop", (STORE_LINK,))
+    accept(context)
+
+
+@behave.when("a change is accepted")
+def accept(context):
+    accept_waiting(context, 30)
+    assert context.accepted.exit_code == 0, context.accepted
+
+
+@behave.when("a change is accepted whose operator waits {time:g} s")
+def accept_waiting(context, time):
+    call(context.cluster.store, "POST", "/control/snapshot", {})
+    context.delay_ms += 1
+    context.accepted = set_delay(context, "entry-1", context.delay_ms, time)
+
+
+@behave.when("the store is down")
+@behave.when("the store is down from then on")
+def stop_store(context):
+    context.cluster.control_store(outage="refuse")
+
+
+@behave.when('domain "{domain}" is cut from the store and the list')
+def cut_platform(context, domain):
+    names = (STORE_LINK, VM_LIST_LINK)
+    set_platform_links(context, domain, "drop", names)
+
+
+@behave.when('domain "{domain}" is cut from everything')
+def cut_domain(context, domain):
+    context.cluster.cut_domain(domain)
+
+
+@behave.when('domain "{domain}" is healed')
+def heal_domain(context, domain):
+    context.cluster.cut_domain(domain, "pass")
+
+
+@behave.then('the operator is told that "{domain}" is not confirmed')
+def check_not_confirmed(context, domain):
+    assert context.accepted.exit_code == NOT_CONFIRMED, context.accepted
+    assert domain in context.accepted.output, context.accepted
+
+
+@behave.then('domain "{domain}" still holds the configuration before it')
+def check_before(context, domain):
+    names = [
+        entry.name
+        for entry in context.cluster.entries
+        if entry.failure_domain == domain
+    ]
+    delays = {read_delay(context, name) for name in names}
+    assert delays == {context.delay_ms - 1}, delays
+
+
+@behave.then("that change is in force at all four within {time:g} s")
+@behave.then("the accepted profile is in force at all four within {time:g} s")
+def check_in_force(context, time):
+    wait_in_force(context, context.delay_ms, time)
+
+
+@behave.when('every VM of domain "{domain}" is replaced')
+def replace_domain(context, domain):
+    names = [
+        entry.name
+        for entry in context.cluster.entries
+        if entry.failure_domain == domain
+    ]
+    for name in names:
+        context.cluster.daemons[name].child.kill()
+    for name in names:
+        context.cluster.daemons[name].start()
+    wait_until(
+        lambda: all(
+            context.cluster.daemons[name].probe("/v1/status").status == 200
+            for name in names
+        ),
+        "the new VMs to listen",
+        START_TIMEOUT_S,
+    )
+
+
+@behave.when('"{name}" is frozen')
+def freeze_daemon(context, name):
+    context.cluster.daemons[name].child.freeze()
+
+
+@behave.when('"{name}" goes on')
+def thaw_daemon(context, name):
+    context.cluster.daemons[name].child.thaw()
+
+
+@behave.when("the store is restored to the state before it")
+def restore_platform(context):
+    call(context.cluster.store, "POST", "/control/restore", {})
+
+
+@behave.then("the store holds that change again within {time:g} s")
+def check_stored(context, time):
+    wait_until(
+        lambda: find_delay(read_stored(context)) == context.delay_ms,
+        "the store to hold the change again",
+        time,
+    )
+
+
+@behave.then("no node ever reported a lower revision than before")
+def check_never_lower(context):
+    for name, revisions in context.seen.items():
+        assert revisions == sorted(revisions), (name, revisions)
