--- a/features/spread.feature
+++ b/features/spread.feature
@@ -19,6 +19,13 @@
     Then within 10 s everyone holds everyone for alive
     And "entry-3" held nobody for dead after its thaw
 
+  Scenario: A node that was frozen amid a suspicion gives time to refute it
+    Given 6 nodes in the spreading loop with revision 1 in force
+    When node "entry-3" is frozen for 20 s while it suspects "entry-1"
+    And node "entry-3" is thawed
+    Then within 10 s everyone holds everyone for alive
+    And "entry-3" held nobody for dead after its thaw
+
   Scenario: A link that is cut in one direction makes nobody dead
     Given 6 nodes in the spreading loop with revision 1 in force
     When the link from "a" to "b" is cut in that direction only
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -85,6 +85,21 @@
     context.loop.run(time)
 
 
+@behave.when(
+    'node "{name}" is frozen for {time:g} s while it suspects "{other}"'
+)
+def freeze_suspecting(context, name, time, other):
+    loop = context.loop
+    node = loop.nodes[name]
+    peer = node.core.state.fleet.peers[other]
+    loop.cut(node.domain)
+    suspected = loop.run(20.0, lambda: peer.status is PeerStatus.SUSPECT)
+    assert suspected is not None
+    freeze(context, name, 0.0)
+    loop.heal()
+    loop.run(time)
+
+
 @behave.when('node "{name}" is thawed')
 def thaw(context, name):
     context.thawed_at = context.loop.now
