Show each rule of the shares by a case that breaks without it

Cause: with four of eight rules broken the random histories stayed green. Before: 'settled', 'all that it knows of', 'no more nodes than named' and 'expected' could each be taken out without a red scenario. That a count must hold every name that the receiver knows changed nothing and is gone. After: three scenarios more, features/share.feature. Conclusion: every rule of the census has a case that needs it.

--- a/features/share.feature
+++ b/features/share.feature
@@ -56,3 +56,42 @@
     When 18 s pass in the fleet
     And VMs "a b c d" are lost and "e f g h" are started
     Then the shares of the fleet become "e=6 f=6 g=6 h=6" after 15 to 18 s
+
+  Scenario: A joiner waits until connections in use beyond the shares are closed
+    Given a fleet of VMs "a b c d" in virtual time
+    When 18 s pass in the fleet
+    And all connections of the fleet stay in use
+    And VM "e" is started with settings that name "a b c d"
+    And 30 s pass in the fleet
+    Then the shares of the fleet are "a=5 b=5 c=5 d=5 e=0"
+    When the fleet is joined again
+    Then the shares of the fleet become "a=5 b=5 c=5 d=5 e=5" after 0 to 4 s
+
+  Scenario: Two VMs can't both take a place on two sides of a cut
+    Given a fleet of VMs "a b c d" in virtual time
+    When 18 s pass in the fleet
+    And VM "d" closes its connections and ends
+    And 10 s pass in the fleet
+    And the platform's list lags by 5 s for VM "d"
+    And VMs "b c" are cut off from "a e list" and "a e" from "b c d"
+    And VM "d" is cut off from "a e"
+    And VM "e" is started with settings that name "a b c e"
+    And 2 s pass in the fleet
+    And VM "d" is started with settings that name "a b c d"
+    And 4 s pass in the fleet
+    Then the shares of the fleet are "a=5 b=6 c=6 d=6 e=0"
+    When the fleet is joined again
+    Then the shares of the fleet become "a=5 b=5 c=5 d=5 e=5" after 0 to 4 s
+
+  Scenario: A VM that starts again waits for all once its place is taken
+    Given a fleet of VMs "a b c d" in virtual time
+    When 18 s pass in the fleet
+    And VM "d" closes its connections and ends
+    And 2 s pass in the fleet
+    And VM "e" is started with settings that name "a b c e"
+    And 4 s pass in the fleet
+    Then the shares of the fleet are "a=6 b=6 c=6 e=6"
+    When VMs "b c e" are cut off from "d list" and "d" from "b c e"
+    And VM "d" is started with settings that name "a b c d"
+    And 30 s pass in the fleet
+    Then the shares of the fleet are "a=5 b=5 c=5 d=0 e=5"
--- a/features/steps/share_steps.py
+++ b/features/steps/share_steps.py
@@ -155,6 +155,37 @@
     context.world.start(name, named.split())
 
 
+@behave.when("all connections of the fleet stay in use")
+def stay_in_use(context):
+    context.world.settling = False
+
+
+@behave.when("the fleet is joined again")
+def join_again(context):
+    context.world.heal()
+
+
+@behave.when('the platform\'s list lags by {lag_s:g} s for VM "{name}"')
+def let_list_lag(context, lag_s, name):
+    context.world.lags[name] = lag_s
+
+
+@behave.when('VM "{name}" is cut off from "{others}"')
+def cut_off_one(context, name, others):
+    for other in others.split():
+        context.world.cut(name, other)
+
+
+@behave.when(
+    'VMs "{names}" are cut off from "{others}" and "{more}" from "{rest}"'
+)
+def cut_off(context, names, others, more, rest):
+    for group, targets in ((names, others), (more, rest)):
+        for name in group.split():
+            for target in targets.split():
+                context.world.cut(name, target)
+
+
 @behave.when('VM "{name}" is lost')
 def lose(context, name):
     context.world.lose(name)
--- a/features/steps/share_world.py
+++ b/features/steps/share_world.py
@@ -97,6 +97,7 @@
         self.settling = True
         self._rng = random.Random(seed)  # noqa: S311
         self._loss = loss
+        self.lags = {}
         self._lag_s = 0.0
         self._starts = 0
         self._messages = []
@@ -245,7 +246,7 @@
         seen = [
             version
             for since, version in self._versions
-            if since <= self.now - self._lag_s
+            if since <= self.now - self.lags.get(node.name, self._lag_s)
         ]
         event = VmListRead(vm_list=(seen or [self._versions[0][1]])[-1])
         self._messages.append((self.now + MESSAGE_S, node.name, event))
--- a/packages/bluebellbay/bluebellbay/coordination/census.py
+++ b/packages/bluebellbay/bluebellbay/coordination/census.py
@@ -29,7 +29,7 @@
     token: int
     heard_at: float
     missing_since: float | None = None
-    counts: frozenset[str] | None = None
+    counts_me: bool = False
     remembers: bool = False
     vouches: bool = False
 
@@ -127,7 +127,7 @@
         member = self._add(sender, notice.token, now)
         if member.token != notice.token:
             member.token = notice.token
-            member.counts = None
+            member.counts_me = False
         member.heard_at = now
         self._least_size = min(self._least_size, notice.size)
         for other in notice.counted:
@@ -135,11 +135,7 @@
                 self._add(other.name, other.token, now)
         me = FleetMember(name=self._name, token=self._token)
         counts_me = notice.settled and me in notice.counted
-        member.counts = (
-            frozenset(item.name for item in notice.counted)
-            if counts_me
-            else None
-        )
+        member.counts_me = counts_me
         member.remembers = counts_me and notice.admitted
         member.vouches = member.remembers and notice.expected
 
@@ -203,16 +199,12 @@
     def _may_be_admitted(self, now: float) -> bool:
         if self._list_read_at is None or self._started_at is None:
             return False
-        wanted = frozenset((self._name, *self._members))
         members = self._members.values()
         is_late = self._list_read_at >= self._started_at + self._linger_s
         remembered = is_late or any(member.remembers for member in members)
-        counted = all(
-            member.counts is not None and member.counts >= wanted
-            for member in members
-        )
+        counted = all(member.counts_me for member in members)
         if counted and remembered:
             return True
-        if len(wanted) > self._least_size:
+        if 1 + len(self._members) > self._least_size:
             return False
         return is_late or any(member.vouches for member in members)
