Show that each source of leaving counts and what a return needs

Cause: LeavingPart had no scenario. Ruled out: treating a server's absence from the list as a departure to remember, as a list that flickers would keep the server out for good. An operator's mark is taken back only by an operator.

--- /dev/null
+++ b/features/steps/leaving_steps.py
@@ -0,0 +1,233 @@
+"""Steps about backend servers that are leaving."""
+
+import random
+
+import behave
+import hypothesis
+from hypothesis import strategies
+from share_world import make_settings
+
+from bluebellbay.coordination.core import Core
+from bluebellbay.coordination.leaving import LeavingPart
+from bluebellbay.coordination.server import ServerPart
+from bluebellbay.coordination.share import SharePart
+from bluebellbay.protocol.command import SendPeer
+from bluebellbay.protocol.command import SetConnectionShare
+from bluebellbay.protocol.configuration import ConfigurationDocument
+from bluebellbay.protocol.configuration import LeavingMark
+from bluebellbay.protocol.event import ConfigurationChanged
+from bluebellbay.protocol.event import LegRefused
+from bluebellbay.protocol.event import LegReplied
+from bluebellbay.protocol.event import PeerReceived
+from bluebellbay.protocol.event import ServerPolled
+from bluebellbay.protocol.event import TimePassed
+from bluebellbay.protocol.event import VmListRead
+from bluebellbay.protocol.leg import LegRefusal
+from bluebellbay.protocol.leg import LegReply
+from bluebellbay.protocol.leg import RefusalReason
+from bluebellbay.protocol.leg import ServerReport
+from bluebellbay.protocol.peer import Departure
+from bluebellbay.protocol.peer import LeavingNotice
+from bluebellbay.protocol.peer import PeerEnvelope
+from bluebellbay.protocol.vm import VmEntry
+from bluebellbay.protocol.vm import VmList
+from bluebellbay.protocol.vm import VmRole
+from bluebellbay.protocol.vm import VmState
+from bluebellbay.state.departure import DepartureTable
+
+FIRST_START = 3
+LIST_SEQUENCE = 10
+STEP_S = 10.0
+
+
+class LeavingNode:
+    """One node's core, told evidence about one server."""
+
+    def __init__(self, peers):
+        self.core = Core(
+            settings=make_settings("vm-1", peers),
+            rng=random.Random(1),  # noqa: S311
+            parts=(ServerPart, LeavingPart, SharePart),
+        )
+        self.now = 1000.0
+        self.commands = []
+        self.sequence = LIST_SEQUENCE
+        self.start = FIRST_START
+        self.revision = 0
+        self.feed(TimePassed())
+        self.feed_list(VmState.LIVE)
+        self.now += 30.0
+        self.feed_list(VmState.LIVE)
+
+    @property
+    def record(self):
+        return self.core.state.servers.servers.get("s")
+
+    def feed(self, event):
+        self.now += STEP_S
+        self.commands = list(self.core.step(event, self.now))
+
+    def feed_list(self, state, *, age=0, listed=True):
+        self.sequence += 1
+        entry = VmEntry(
+            name="s",
+            role=VmRole.BACKEND,
+            failure_domain="fd-1",
+            address="127.0.0.1:1",
+            index="ink",
+            service="ink",
+            state=state,
+            incarnation=self.start,
+        )
+        vms = (entry,) if listed else ()
+        sequence = self.sequence - age
+        self.feed(VmListRead(vm_list=VmList(sequence=sequence, vms=vms)))
+
+    def feed_mark(self, leaving):
+        self.revision += 1
+        mark = LeavingMark(vm="s", revision=self.revision, leaving=leaving)
+        document = ConfigurationDocument(
+            revision=self.revision, change_id="c", marks=(mark,)
+        )
+        self.core.state.configuration.accept(document)
+        self.feed(ConfigurationChanged(revision=self.revision))
+
+    def feed_reply(self, attempt):
+        reply = LegReply(
+            attempt=attempt, snapshot=1, start=0, end=1, leaving=True
+        )
+        self.feed(LegReplied(server="s", attempt="a", reply=reply))
+
+    def feed_refusal(self):
+        refusal = LegRefusal(attempt="a", reason=RefusalReason.LEAVING)
+        self.feed(LegRefused(server="s", attempt="a", refusal=refusal))
+
+    def feed_health(self):
+        report = ServerReport(server="s", leaving=True)
+        self.feed(ServerPolled(server="s", report=report))
+
+    def feed_notice(self):
+        departure = Departure(
+            server="s", incarnation=self.start, revision=self.revision
+        )
+        envelope = PeerEnvelope(
+            sender="vm-2",
+            incarnation=1,
+            sequence=self.sequence,
+            message=LeavingNotice(departures=(departure,)),
+        )
+        self.feed(PeerReceived(envelope=envelope))
+
+
+@behave.given('a node that knows server "s" and peers "{peers}"')
+def make_node(context, peers):
+    context.node = LeavingNode(peers.split())
+    assert not context.node.record.leaving
+    assert context.node.record.connection_share > 0
+
+
+@behave.when('server "s" is leaving by {source}')
+def depart(context, source):
+    node = context.node
+    match source:
+        case "the list":
+            node.feed_list(VmState.LEAVING)
+        case "an operator":
+            node.feed_mark(leaving=True)
+        case "a reply":
+            node.feed_reply("a")
+        case "a refusal":
+            node.feed_refusal()
+        case "its health":
+            node.feed_health()
+        case "a peer":
+            node.feed_notice()
+        case "leaving the list":
+            node.feed_list(VmState.LIVE, listed=False)
+
+
+@behave.when('server "s" is back by {source}')
+def come_back(context, source):
+    node = context.node
+    match source:
+        case "the same start, listed":
+            node.feed_list(VmState.LIVE)
+        case "a later start, listed":
+            node.start += 1
+            node.feed_list(VmState.LIVE)
+        case "an older list":
+            node.feed_list(VmState.LIVE, age=2)
+        case "an operator":
+            node.feed_mark(leaving=False)
+
+
+@behave.when('a foreign reply says that server "s" is leaving')
+def feed_foreign(context):
+    context.node.feed_reply("b")
+
+
+@behave.then('server "s" gets no new work and its share is 0')
+def check_no_work(context):
+    record = context.node.record
+    assert record is None or record.leaving
+    limits = [
+        command.limit
+        for command in context.node.commands
+        if isinstance(command, SetConnectionShare)
+    ]
+    assert limits == [0], limits
+
+
+@behave.then('the peers told that server "s" is leaving are "{names}"')
+def check_told(context, names):
+    told = {
+        command.peer
+        for command in context.node.commands
+        if isinstance(command, SendPeer)
+        and isinstance(command.message, LeavingNotice)
+        and command.message.departures[0].server == "s"
+    }
+    assert told == set(names.split()), told
+
+
+@behave.then('the peers told that server "s" is leaving are ""')
+def check_none_told(context):
+    check_told(context, "")
+
+
+@behave.then('server "s" is {state}')
+def check_state(context, state):
+    record = context.node.record
+    found = "gone" if record is None else "working"
+    if record is not None and record.leaving:
+        found = "leaving"
+    assert found == state, found
+    if found == "working":
+        assert record.connection_share > 0
+
+
+@behave.then("in any order the same evidence of leaving has the same result")
+def check_order_of_evidence(context):
+    evidence = strategies.lists(
+        strategies.builds(
+            Departure,
+            server=strategies.sampled_from("st"),
+            incarnation=strategies.integers(1, 3),
+            revision=strategies.integers(0, 3),
+        ),
+        max_size=8,
+    )
+
+    @hypothesis.settings(derandomize=True, database=None, deadline=None)
+    @hypothesis.given(evidence, strategies.randoms(use_true_random=False))
+    def check(departures, rng):
+        shuffled = list(departures)
+        rng.shuffle(shuffled)
+        tables = [DepartureTable(), DepartureTable()]
+        for table, items in zip(tables, (departures, shuffled), strict=True):
+            for item in items:
+                table.record(item)
+        for server in "st":
+            assert tables[0].find(server) == tables[1].find(server)
+
+    check()
