Set the bound beside an oracle that minds the slots

Ruled out: late hedges (the other replica is the faulty one). Conclusion: what is missed there is queueing at the load of the situation, not the choice of replica.

--- a/packages/bench/bluebellbay_bench/figure.py
+++ b/packages/bench/bluebellbay_bench/figure.py
@@ -26,6 +26,7 @@
     :param bound_p50_ms: The clairvoyant bound at the 50th in 100.
     :param bound_p99_ms: The clairvoyant bound at the 99th in 100.
     :param bound_p999_ms: The clairvoyant bound at the 999th in 1000.
+    :param oracle_p99_ms: The oracle with slots at the 99th in 100.
     :param complete: Share of the admitted queries answered whole.
     :param extra_load: Extra legs by first legs, over the run.
     :param worst_window: The highest extra load of any 10 s.
@@ -42,6 +43,7 @@
     bound_p50_ms: float
     bound_p99_ms: float
     bound_p999_ms: float
+    oracle_p99_ms: float
     complete: float
     extra_load: float
     worst_window: float
@@ -116,6 +118,9 @@
         bound_p50_ms=find_quantile(bounds, 0.5),
         bound_p99_ms=find_quantile(bounds, 0.99),
         bound_p999_ms=find_quantile(bounds, 0.999),
+        oracle_p99_ms=find_quantile(
+            [item.oracle_s * MS_PER_S for item in queries], 0.99
+        ),
         complete=_share(admitted, admitted),
         extra_load=extra / max(1, len(legs) - extra),
         worst_window=find_worst_window(legs, end_s=world.shape.seconds),
--- a/packages/bench/bluebellbay_bench/situation.py
+++ b/packages/bench/bluebellbay_bench/situation.py
@@ -118,7 +118,7 @@
             world.restart(at, name)
             at += DOWN_S
             world.change_condition(at, name, slow_factor=COLD_FACTOR)
-            world.list_vm(at, name, incarnation=2)
+            world.list_vm(at, name, incarnation=2, state=VmState.LIVE)
             world.change_condition(at + COLD_S, name)
 
 
--- a/packages/bench/bluebellbay_bench/world.py
+++ b/packages/bench/bluebellbay_bench/world.py
@@ -39,6 +39,7 @@
 from bluebellbay.protocol.vm import VmRole
 from bluebellbay.settings import Settings
 from bluebellbay_bench.draw import Draws
+from bluebellbay_bench.oracle import Oracle
 from bluebellbay_bench.server import FakeServer
 from bluebellbay_bench.server import ServerCondition
 from bluebellbay_bench.shape import FIRST_RANK
@@ -63,6 +64,7 @@
     :param profile: Name of its profile.
     :param arrived_at: Time in seconds from the start of the run.
     :param bound_s: Latency that the clairvoyant bound gives it.
+    :param oracle_s: Latency that the oracle with slots gives it.
     :param answered_at: Time of its answer, if it got one.
     :param answer: The answer.
     """
@@ -70,6 +72,7 @@
     profile: str
     arrived_at: float
     bound_s: float
+    oracle_s: float
     answered_at: float = 0.0
     answer: Answer | None = None
 
@@ -122,6 +125,9 @@
         self._servers: dict[str, FakeServer] = {}
         self._by_service: dict[str, list[FakeServer]] = {}
         self._build_servers()
+        self._oracle = Oracle(
+            work=self._work, servers=self._by_service, slots=shape.slots
+        )
 
     @property
     def names(self) -> tuple[str, ...]:
@@ -260,6 +266,7 @@
                 profile=profile,
                 arrived_at=now,
                 bound_s=self._find_bound(query),
+                oracle_s=self._oracle.place_query(query, now),
             )
         )
         request = QueryRequest(request_id=query, index=INDEX, profile=profile)
