--- a/packages/bluebellbay/bluebellbay/coordination/census.py
+++ b/packages/bluebellbay/bluebellbay/coordination/census.py
@@ -6,9 +6,11 @@
 
 - A node that is admitted counts every other that is. A node is admitted
   once all that it knows of count it too, with their connections within the
-  smaller shares. While there are no more nodes than the settings name, the
-  word of one admitted node is enough, or a list of VMs that was read long
-  enough after the start to show every other.
+  smaller shares. While there are no more nodes than the settings name, it
+  need not wait for those that are silent. In both cases it needs the word
+  of an admitted node, which remembers those that were there before; where
+  there is none, it waits until their connections must have ended, and reads
+  the platform's list again.
 - A node is counted no longer only after its own word that it has closed its
   connections, or once the platform's list has left it out, and nothing has
   been heard of it, for as long as connections may linger.
@@ -27,7 +29,8 @@
     token: int
     heard_at: float
     missing_since: float | None = None
-    counts: frozenset[str] | None = None
+    counts_me: bool = False
+    remembers: bool = False
     vouches: bool = False
 
 
@@ -124,7 +127,7 @@
         member = self._add(sender, notice.token, now)
         if member.token != notice.token:
             member.token = notice.token
-            member.counts = None
+            member.counts_me = False
         member.heard_at = now
         self._least_size = min(self._least_size, notice.size)
         for other in notice.counted:
@@ -132,12 +135,9 @@
                 self._add(other.name, other.token, now)
         me = FleetMember(name=self._name, token=self._token)
         counts_me = notice.settled and me in notice.counted
-        member.counts = (
-            frozenset(item.name for item in notice.counted)
-            if counts_me
-            else None
-        )
-        member.vouches = counts_me and notice.admitted and notice.expected
+        member.counts_me = counts_me
+        member.remembers = counts_me and notice.admitted
+        member.vouches = member.remembers and notice.expected
 
     def take_stopped(self, sender: str, token: int) -> None:
         """Take a node's word that it has closed its connections.
@@ -199,14 +199,12 @@
     def _may_be_admitted(self, now: float) -> bool:
         if self._list_read_at is None or self._started_at is None:
             return False
-        wanted = frozenset((self._name, *self._members))
-        if all(
-            member.counts is not None and member.counts >= wanted
-            for member in self._members.values()
-        ):
+        members = self._members.values()
+        is_late = self._list_read_at >= self._started_at + self._linger_s
+        remembered = is_late or any(member.remembers for member in members)
+        counted = all(member.counts_me for member in members)
+        if counted and remembered:
             return True
-        if len(wanted) > self._least_size:
+        if 1 + len(self._members) > self._least_size:
             return False
-        if any(member.vouches for member in self._members.values()):
-            return True
-        return self._list_read_at >= self._started_at + self._linger_s
+        return is_late or any(member.vouches for member in members)
--- a/packages/bluebellbay/bluebellbay/coordination/dispatch.py
+++ b/packages/bluebellbay/bluebellbay/coordination/dispatch.py
@@ -4,6 +4,7 @@
 
 from bluebellbay.coordination.budget import BudgetTable
 from bluebellbay.coordination.ejection import EjectionPolicy
+from bluebellbay.coordination.gate import AdmissionGate
 from bluebellbay.coordination.hedge import HedgePolicy
 from bluebellbay.coordination.hedge import SILENCE_FACTOR
 from bluebellbay.coordination.leg import Leg
@@ -58,6 +59,10 @@
         self.polls = PollTracker()
         self.timers = TimerQueue()
         self.legs: dict[str, Leg] = {}
+        self.gates = {
+            name: AdmissionGate(state=state, index=name, timers=self.timers)
+            for name in state.servers.indexes
+        }
         self.finished: list[Run] = []
         self.waiting: dict[Run, None] = {}
         self._steps: list[Step] = []
@@ -137,6 +142,7 @@
         task.may_have_run += 1
         run.ledger.record_sent()
         record.outstanding += 1
+        self.gates[run.request.index].outstanding += 1
         request = run.request
         if self._logs:
             self.log(
@@ -176,6 +182,7 @@
         """
         del self.legs[leg.attempt]
         leg.record.outstanding -= 1
+        self.gates[leg.run.request.index].outstanding -= 1
         if not leg.wanted:
             return False
         leg.wanted = False
@@ -228,7 +235,7 @@
         leg.wanted = False
         waited_s = now - leg.sent_at
         if leg.usual_s and waited_s >= leg.usual_s:
-            self.latencies.get(leg.server).add(waited_s, now)
+            self.latencies.get(leg.server).add_unanswered(waited_s, now)
             if waited_s > SILENCE_FACTOR * leg.usual_s:
                 self.note_failure(leg, now)
         self.counters.cancelled += 1
