Hedge the first queries after the latencies seen anywhere

Cause: a server with few samples was hedged only after a fifth of the delay, so that the first queries of a node ran into every pause. Ruled out: a smaller share of the delay (it knows nothing of the index).

--- a/packages/bluebellbay/bluebellbay/coordination/dispatch.py
+++ b/packages/bluebellbay/bluebellbay/coordination/dispatch.py
@@ -203,7 +203,7 @@
         :param leg: The leg.
         :param now: Present time in seconds.
         """
-        self.latencies.get(leg.server).add(now - leg.sent_at, now)
+        self.latencies.add(leg.server, now - leg.sent_at, now)
         self.ejection.note_success(leg.record)
 
     def note_failure(self, leg: Leg, now: float) -> None:
--- a/packages/bluebellbay/bluebellbay/coordination/hedge.py
+++ b/packages/bluebellbay/bluebellbay/coordination/hedge.py
@@ -79,4 +79,6 @@
         window = self._latencies.get(server)
         if window.count >= LEAST_SAMPLES:
             return window.quantile(share)
+        if self._latencies.pooled.count >= LEAST_SAMPLES:
+            return self._latencies.pooled.quantile(share)
         return COLD_SHARE_OF_DELAY * profile.delay_ms / 1000
--- a/packages/bluebellbay/bluebellbay/state/latency.py
+++ b/packages/bluebellbay/bluebellbay/state/latency.py
@@ -87,9 +87,13 @@
 
 
 class LatencyTable:
-    """The latencies of all servers, by name."""
+    """The latencies of all servers, by name, and of the new ones together.
+
+    :ivar pooled: Latencies of servers that have few samples yet.
+    """
 
     def __init__(self) -> None:
+        self.pooled = LatencyWindow()
         self._windows: dict[str, LatencyWindow] = {}
 
     def get(self, server: str) -> LatencyWindow:
@@ -103,6 +107,18 @@
             window = self._windows[server] = LatencyWindow()
         return window
 
+    def add(self, server: str, seconds: float, now: float) -> None:
+        """Take the latency of a leg that was answered.
+
+        :param server: Name of the server.
+        :param seconds: The latency.
+        :param now: Present time in seconds.
+        """
+        window = self.get(server)
+        window.add(seconds, now)
+        if window.count < LEAST_SAMPLES:
+            self.pooled.add(seconds, now)
+
     def forget(self, server: str) -> None:
         """Drop what is known of a server.
 
