Make the process scenarios red without draining and without shares

Cause: with legs of some 20 ms no request was in flight when the balancer's lag ended, so a node that stopped without draining stayed green; a limit of 25 connections was never reached. Ruled out: more callers, which only made the machine slow. After: legs of 400 ms and a limit of 6: no draining, red ('no answer'). Unbroken: the VM ended after 2.9 s, 25 requests whole, 5 answered and 1 not run at it; at most 4 connections at a server in the replacement run before.

--- a/features/fleet_process.feature
+++ b/features/fleet_process.feature
@@ -10,7 +10,8 @@
 
   Scenario: A VM that ends gracefully cuts off no request
     Given a small fleet of processes under load
-    When entry VM "entry-4" is asked twice to end
+    When every server takes 400 ms for a leg
+    And entry VM "entry-4" is asked twice to end
     Then it ends with exit code 0 no earlier than the balancer's lag
     And its requests before the lag was over were answered whole
     And later ones were refused as not run or could not connect
--- a/features/steps/fleet_process_steps.py
+++ b/features/steps/fleet_process_steps.py
@@ -24,6 +24,15 @@
 INDEX = "press-desk"
 PROFILE = "batch-lookup"
 CALLERS = 4
+# Small enough to be exceeded by nodes that don't share.
+CONNECTION_LIMIT = 6
+SCARCE = dataclasses.replace(
+    SMALL,
+    indexes=tuple(
+        dataclasses.replace(index, connection_limit=CONNECTION_LIMIT)
+        for index in SMALL.indexes
+    ),
+)
 LAG_S = 2.0
 MARGIN_S = 0.5
 END_LIMIT_S = 60.0
@@ -117,7 +126,7 @@
 @behave.given("a small fleet of processes under load")
 def start_fleet_under_load(context):
     shape = ClusterShape(
-        fleets=(SMALL,),
+        fleets=(SCARCE,),
         entry_domains=(*MAZOWSZE, MAZOWSZE[0]),
         settings={"shutdown": {"balancer_lag_s": LAG_S}},
         seed=3,
@@ -130,7 +139,7 @@
     done = run_command(
         cluster.daemons["entry-1"].settings_path,
         *("profile", "set", PROFILE),
-        *("--coverage-floor", "1", "--delay-ms", "2000"),
+        *("--coverage-floor", "1", "--delay-ms", "5000"),
         *("--extra-load", "0.05", "--rank", "0"),
     )
     assert done.exit_code == 0, done
@@ -196,6 +205,12 @@
     assert not faults, faults[:3]
 
 
+@behave.when("every server takes {median_ms:d} ms for a leg")
+def slow_down(context, median_ms):
+    for place in context.cluster.places:
+        context.cluster.control_backend(place.name, median_ms=median_ms)
+
+
 @behave.when('entry VM "{name}" is asked twice to end')
 def ask_twice(context, name):
     context.ended = name
