--- a/packages/bluebellbay/bluebellbay/coordination/dispatch.py
+++ b/packages/bluebellbay/bluebellbay/coordination/dispatch.py
@@ -4,6 +4,7 @@
 
 from bluebellbay.coordination.budget import BudgetTable
 from bluebellbay.coordination.ejection import EjectionPolicy
+from bluebellbay.coordination.gate import AdmissionGate
 from bluebellbay.coordination.hedge import HedgePolicy
 from bluebellbay.coordination.hedge import SILENCE_FACTOR
 from bluebellbay.coordination.leg import Leg
@@ -58,6 +59,10 @@
         self.polls = PollTracker()
         self.timers = TimerQueue()
         self.legs: dict[str, Leg] = {}
+        self.gates = {
+            name: AdmissionGate(state=state, index=name, timers=self.timers)
+            for name in state.servers.indexes
+        }
         self.finished: list[Run] = []
         self.waiting: dict[Run, None] = {}
         self._steps: list[Step] = []
@@ -131,12 +136,14 @@
             snapshot=snapshot,
             sent_at=now,
         )
+        extra = task.may_have_run > 0
         self.legs[attempt] = leg
         task.legs.append(leg)
         task.tried.add(record.name)
         task.may_have_run += 1
         run.ledger.record_sent()
         record.outstanding += 1
+        self.gates[run.request.index].outstanding += 1
         request = run.request
         if self._logs:
             self.log(
@@ -151,6 +158,8 @@
                 server=record.name,
                 address=record.address,
                 timeout_s=timeout_s,
+                profile=request.profile,
+                extra=extra,
                 leg=LegRequest(
                     attempt=attempt,
                     request_id=request.request_id,
@@ -176,6 +185,7 @@
         """
         del self.legs[leg.attempt]
         leg.record.outstanding -= 1
+        self.gates[leg.run.request.index].outstanding -= 1
         if not leg.wanted:
             return False
         leg.wanted = False
