--- /dev/null
+++ b/features/steps/operator_steps.py
@@ -0,0 +1,158 @@
+"""Steps about the operators' command line, over processes."""
+
+import concurrent.futures
+import pathlib
+import subprocess
+import tempfile
+
+import behave
+from process_world import MAZOWSZE
+from process_world import PROFILES
+from process_world import SEED
+from process_world import SMALL
+
+from bluebellbay.protocol.configuration import CONFIGURATION_KEY
+from bluebellbay_standins.client import call
+from bluebellbay_standins.cluster import Cluster
+from bluebellbay_standins.cluster import ClusterShape
+from bluebellbay_standins.operator_command import CommandResult
+from bluebellbay_standins.operator_command import PROGRAM
+from bluebellbay_standins.operator_command import run_command
+from bluebellbay_standins.process import wait_until
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+# Below the command's store timeout of 2 s, and far above what the steps take.
+SLOW_S = 1.5
+
+
+@behave.given("a cluster for an operator")
+def start_cluster(context):
+    cluster = Cluster(
+        shape=ClusterShape(fleets=(SMALL,), entry_domains=MAZOWSZE, seed=SEED)
+    )
+    context.add_cleanup(cluster.close)
+    cluster.start_platform()
+    cluster.seed_profiles(PROFILES)
+    cluster.start_daemons()
+    cluster.wait_until_healthy()
+    context.cluster = cluster
+
+
+def run(context, *arguments):
+    daemon = context.cluster.daemons["entry-1"]
+    return run_command(daemon.settings_path, *arguments)
+
+
+def read_stored(cluster):
+    keys = call(cluster.store, "GET", "/control/keys").body
+    return next(
+        entry["value"] for entry in keys if entry["key"] == CONFIGURATION_KEY
+    )
+
+
+@behave.when("the operator runs {words}")
+def run_words(context, words):
+    context.result = run(context, *words.split())
+
+
+@behave.when("the store loses the answer to the operator's next write")
+def lose_answer(context):
+    context.cluster.control_store(lose_answers=1)
+
+
+@behave.when("the operator's store goes out of service")
+def stop_store(context):
+    context.cluster.control_store(outage="refuse")
+
+
+@behave.when(
+    "the store goes out of service between an operator's write and its answer"
+)
+def stop_store_between(context):
+    cluster = context.cluster
+    before = read_stored(cluster)
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        cluster.control_store(lose_answers=1, answer_delay_s=0)
+        cluster.control_store(delay_s=SLOW_S)
+        command = pool.submit(run, context, "profile", "set", "batch")
+        wait_until(lambda: read_stored(cluster) != before, "the write")
+        cluster.control_store(outage="refuse")
+        context.result = command.result()
+
+
+@behave.when("{entry} is killed behind the operator's back")
+def kill_entry(context, entry):
+    context.cluster.daemons[entry].child.kill()
+
+
+@behave.when("two operators set the same profile at once over a slow store")
+def race(context):
+    context.cluster.control_store(delay_s=SLOW_S)
+    with concurrent.futures.ThreadPoolExecutor(2) as pool:
+        commands = [
+            pool.submit(run, context, "profile", "set", "batch", *fields)
+            for fields in (("--rank", "1"), ("--rank", "2"))
+        ]
+        context.results = [command.result() for command in commands]
+
+
+@behave.when("an operator checks settings with two faults")
+def check_faults(context):
+    text = (ROOT / "examples" / "wisla.yaml").read_text(encoding="utf-8")
+    text = text.replace("listen: 127.0.1.1:8080", "listen: nowhere")
+    text = text.replace("limit_s: 90", "limit_s: 0")
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "settings.yaml"
+        path.write_text(text, encoding="utf-8")
+        done = subprocess.run(
+            [str(PROGRAM), "check", str(path)],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+    context.result = CommandResult(
+        exit_code=done.returncode, output=done.stdout, errors=done.stderr
+    )
+
+
+@behave.then("the command exits with {code:d}")
+def check_code(context, code):
+    assert context.result.exit_code == code, context.result
+
+
+@behave.then("the command exits with {code:d} and says {text}")
+def check_code_and_text(context, code, text):
+    check_code(context, code)
+    said = context.result.output + context.result.errors
+    assert text in said, context.result
+
+
+@behave.then("the output names {entry}")
+def check_output(context, entry):
+    assert entry in context.result.output, context.result
+
+
+@behave.then(
+    "the profile shown has floor {floor:g}, delay {delay:d} ms "
+    "and rank {rank:d}"
+)
+def check_profile(context, floor, delay, rank):
+    profile = context.result.parse()["data"]["profile"]
+    assert profile["coverage_floor"] == floor, profile
+    assert profile["delay_ms"] == delay, profile
+    assert profile["rank"] == rank, profile
+
+
+@behave.then("one made it and the other was shown the change that came first")
+def check_race(context):
+    codes = sorted(result.exit_code for result in context.results)
+    assert codes == [0, 4], context.results
+    loser = next(item for item in context.results if item.exit_code == 4)
+    said = loser.output + loser.errors
+    assert "profile set batch" in said, loser
+
+
+@behave.then("the errors are two lines")
+def check_lines(context):
+    lines = context.result.errors.strip().splitlines()
+    assert len(lines) == 2, lines
