Check the expiry again when a request leaves the admission queue

Cause: a request that waited for admission started although it had expired meanwhile; a stale head of the queue also let newcomers pass those behind. Ruled out: checking in each kind of run; one place serves both. Before: with the check broken the new scenario is red (no answer yet, as the expired query was started). After: behave features/query.feature: 18 passed. Conclusion: expired requests leave the queue as not run.

--- a/features/query.feature
+++ b/features/query.feature
@@ -91,6 +91,12 @@
     Then at least 99 in 100 of the first rank are answered whole
     And the second rank is answered whole or refused as overloaded
 
+  Scenario: A request that expires while it waits for admission is not run
+    Given an entry node with 2 services of 2 replicas each and two ranks
+    And every backend server is silent
+    When 4 queries are under way and one that expires in 0.05 s waits
+    Then the waiting one is refused as expired once there is room
+
   Scenario Outline: With <switch> off the node still answers
     Given an entry node with 2 services of 2 replicas each without <switch>
     When 20 queries are sent in 1 s
--- a/features/steps/query_steps.py
+++ b/features/steps/query_steps.py
@@ -9,6 +9,7 @@
 from bluebellbay.protocol.event import ClaimFinished
 from bluebellbay.protocol.event import ClaimGranted
 from bluebellbay.protocol.event import ClaimRequested
+from bluebellbay.protocol.event import LegFailed
 from bluebellbay.protocol.event import QueriesDrained
 from bluebellbay.protocol.key_range import KEY_SPACE_END
 from bluebellbay.protocol.leg import Holding
@@ -269,3 +270,31 @@
         shed += 1
         assert answer.error.kind == "overloaded", answer
     assert shed
+
+
+@behave.when(
+    "{count:d} queries are under way and one that expires in {seconds:g} s "
+    "waits"
+)
+def wait_at_gate(context, count, seconds):
+    world = context.world
+    context.callers = [world.ask() for _ in range(count)]
+    context.waiting = world.ask(
+        profile="later", query="waiting", expires_at=world.now + seconds
+    )
+    world.run(0.1)
+
+
+@behave.then("the waiting one is refused as expired once there is room")
+def check_expired(context):
+    world = context.world
+    assert context.waiting not in world.answers
+    for caller in context.callers:
+        world.step(CallerGone(caller=caller))
+    for leg in tuple(world.legs):
+        event = LegFailed(
+            server=leg[1].server, attempt=leg[1].leg.attempt, sent=True
+        )
+        world.step(event)
+    assert world.answer_of(context.waiting).error.kind == "expired"
+    assert not [leg for _, leg in world.legs if leg.leg.query == "waiting"]
--- a/packages/bluebellbay/bluebellbay/coordination/gate.py
+++ b/packages/bluebellbay/bluebellbay/coordination/gate.py
@@ -99,8 +99,7 @@
         :param now: Present time in seconds.
         :returns: Its run, or none.
         """
-        while self._queue and self._queue[0][2].over:
-            heapq.heappop(self._queue)
+        self._drop_stale()
         if not self._queue or not self._has_room(self._queue[0][0], now):
             return None
         waiting = heapq.heappop(self._queue)[2]
@@ -145,10 +144,12 @@
         self._trusted_at = now
 
     def _is_blocked(self, rank: int) -> bool:
-        return any(
-            other <= rank and not waiting.over
-            for other, _, waiting in self._queue[:1]
-        )
+        self._drop_stale()
+        return bool(self._queue) and self._queue[0][0] <= rank
+
+    def _drop_stale(self) -> None:
+        while self._queue and self._queue[0][2].over:
+            heapq.heappop(self._queue)
 
     def _has_room(self, rank: int, now: float) -> bool:
         slots = self._measure_slots(now)
--- a/packages/bluebellbay/bluebellbay/coordination/query.py
+++ b/packages/bluebellbay/bluebellbay/coordination/query.py
@@ -135,16 +135,22 @@
             run.start(now)
 
     def _pass_gate(self, gate: AdmissionGate, now: float) -> None:
-        dispatcher = self._dispatcher
         for shed in gate.pop_shed():
-            proof = shed.ledger.prove_nothing_ran().value
-            kind = NotRunKind.OVERLOADED
-            answer = dispatcher.build_not_run(shed, kind, proof, now)
-            dispatcher.finish(shed)
-            dispatcher.answer(shed, answer)
+            self._drop_unstarted(shed, NotRunKind.OVERLOADED, now)
         while (run := gate.pop_admitted(now)) is not None:
+            expires_at = run.request.expires_at
+            if expires_at is not None and expires_at <= now:
+                self._drop_unstarted(run, NotRunKind.EXPIRED, now)
+                continue
             run.start(now)
 
+    def _drop_unstarted(self, run: Run, kind: NotRunKind, now: float) -> None:
+        dispatcher = self._dispatcher
+        proof = run.ledger.prove_nothing_ran().value
+        answer = dispatcher.build_not_run(run, kind, proof, now)
+        dispatcher.finish(run)
+        dispatcher.answer(run, answer)
+
     def _find_fault(
         self, request: QueryRequest, now: float
     ) -> NotRunKind | None:
