Record outcomes at once while the store takes every call

Cause: every record waited a second, so whoever asked again within it was told "unknown"; and a limit of 4096 bytes kept the stand-ins' answers out of the record, so they stayed "unknown": behave features/posting.feature -n "Four entry VMs" printed ['unknown', 'unknown', 'unknown', 'unknown']. The delay alone: with the delay gone the scenario was still red, only the limit of bytes mended it. Before: every record after 1 s. Outcomes up to 16 KiB are recorded; a bucket that is full gives outcomes up before it refuses claims. "Four entry VMs" passed 2 of 2. features/claim.feature 18 passed; shown failing: never delayed 1 failed, always delayed 1 error, no haste 1 error, outcomes not given up 2 failed. Red still: "The store's answer to a claim is held past the expiry" (its step waits for the claim in vain) and "Every server refuses, then takes it". Conclusion: the two are looked into next.

--- a/features/claim.feature
+++ b/features/claim.feature
@@ -11,7 +11,6 @@
     Given a claim store and the claiming nodes a and b
     When node a claims posting-1 and the store answers
     And node a finishes posting-1 as answered and the store answers
-    And 1.5 seconds pass and the store answers
     And node b claims posting-1 and the store answers
     Then node b was told held with outcome answered
 
@@ -70,9 +69,21 @@
     Then node a was told refused
     And node a has no claim under way
 
+  Scenario: A record waits a second at most while the store refuses calls
+    Given a claim store and the claiming nodes a and b
+    When node a claims posting-1 and the store is down
+    And 0.1 seconds pass and the store answers
+    And node a finishes posting-1 as answered and the store answers
+    And node b claims posting-1 and the store answers
+    Then node b was told held without outcome
+    When 1 seconds pass and the store answers
+    And node b claims posting-1 and the store answers
+    Then node b was told held with outcome answered at last
+
   Scenario: A node that closes admission records outcomes at once
     Given a claim store and the claiming nodes a and b
-    When node a claims posting-1 and the store answers
+    When node a claims posting-1 and the store is down
+    And 0.1 seconds pass and the store answers
     And node a finishes posting-1 as answered and the store answers
     And node a closes admission and the store answers
     And node b claims posting-1 and the store answers
@@ -118,3 +129,20 @@
     When node a posts posting-1 until 60 and the store answers
     And 2 seconds pass and the store answers
     Then node a was told refused
+
+  Scenario: A bucket that is full of outcomes gives them up for a claim
+    Given a claim store and the claiming nodes a and b
+    And a bucket of posting-1 that is almost full of an outcome
+    When node a claims posting-1 and the store answers
+    And node a finishes posting-1 as answered and the store answers
+    Then node a was told granted
+    When node b claims posting-1 and the store answers
+    Then node b was told held with outcome answered
+
+  Scenario: An outcome that a bucket has no room for is given up
+    Given a claim store and the claiming nodes a and b
+    And a bucket of posting-1 with room for one claim only
+    When node a claims posting-1 and the store answers
+    And node a finishes posting-1 as answered and the store answers
+    Then node a was told granted
+    And node a has no claim under way
--- a/packages/bluebellbay/bluebellbay/coordination/claim.py
+++ b/packages/bluebellbay/bluebellbay/coordination/claim.py
@@ -7,6 +7,7 @@
 from bluebellbay.coordination.claim_bucket import BucketWriter
 from bluebellbay.coordination.claim_bucket import StoreEvent
 from bluebellbay.coordination.claim_life import ClaimAttempt
+from bluebellbay.coordination.claim_pace import RecordPace
 from bluebellbay.coordination.part import Part
 from bluebellbay.coordination.part import Step
 from bluebellbay.coordination.timer import TimerQueue
@@ -30,7 +31,7 @@
 from bluebellbay.state.node import NodeState
 
 TOKEN_BITS: Final = 64
-MAX_OUTCOME_BYTES: Final = 4096
+MAX_OUTCOME_BYTES: Final = 16_384
 
 
 class ClaimPart(Part):
@@ -49,7 +50,7 @@
     def __init__(self, *, state: NodeState) -> None:
         super().__init__(state=state)
         self._limits = state.settings.limits
-        self._record_delay_s = self._limits.claim_record_delay_s
+        self._pace = RecordPace(longest_s=self._limits.claim_record_delay_s)
         self._steps: list[Step] = []
         self._timers = TimerQueue()
         self._attempts: dict[str, ClaimAttempt] = {}
@@ -129,7 +130,7 @@
             attempt.life.release()
         elif _is_worth_recording(answer):
             attempt.outcome = answer
-            attempt.due_at = now + self._record_delay_s
+            attempt.due_at = now + self._pace.delay_s
             attempt.life.record()
         else:
             attempt.life.forget()
@@ -137,7 +138,7 @@
         self._find_bucket(event.request_id).add(attempt, now)
 
     def _record_at_once(self, now: float) -> None:
-        self._record_delay_s = 0.0
+        self._pace.stop_waiting()
         for bucket in self._buckets.values():
             bucket.hasten(now)
 
@@ -162,6 +163,7 @@
                 key=key,
                 skew_s=self._limits.clock_skew_s,
                 retention_s=self._limits.claim_retention_s,
+                pace=self._pace,
                 rng=self.state.rng,
                 timers=self._timers,
                 steps=self._steps,
--- a/packages/bluebellbay/bluebellbay/coordination/claim_bucket.py
+++ b/packages/bluebellbay/bluebellbay/coordination/claim_bucket.py
@@ -7,6 +7,7 @@
 from expression import Result
 
 from bluebellbay.coordination.claim_life import ClaimAttempt
+from bluebellbay.coordination.claim_pace import RecordPace
 from bluebellbay.coordination.part import Step
 from bluebellbay.coordination.timer import Timed
 from bluebellbay.coordination.timer import TimerQueue
@@ -36,6 +37,7 @@
     :param key: Key of the bucket in the store.
     :param skew_s: Largest difference in seconds between two nodes' clocks.
     :param retention_s: Time in seconds that a claim is kept beyond that.
+    :param pace: Told what the store takes and refuses.
     :param rng: Source of randomness.
     :param timers: Where its timers are set.
     :param steps: Where its commands are collected.
@@ -48,6 +50,7 @@
         "_claims",
         "_exposed",
         "_key",
+        "_pace",
         "_pause_s",
         "_resume_at",
         "_retention_s",
@@ -66,6 +69,7 @@
         key: str,
         skew_s: float,
         retention_s: float,
+        pace: RecordPace,
         rng: random.Random,
         timers: TimerQueue,
         steps: list[Step],
@@ -73,6 +77,7 @@
         self._key = key
         self._skew_s = skew_s
         self._retention_s = retention_s
+        self._pace = pace
         self._rng = rng
         self._timers = timers
         self._steps = steps
@@ -131,6 +136,7 @@
         self._ticket = ""
         match event:
             case KeyWritten():
+                self._pace.note_taken()
                 self._note(self._batch, event.version, now)
             case KeyRead() | KeyConflict():
                 self._take_value(event, now)
@@ -171,7 +177,10 @@
         if not changed:
             self._forget_idle()
             return
-        value = encode_bucket(ClaimBucket(claims=tuple(self._batch.values())))
+        value = self._encode()
+        if len(value) > MAX_BUCKET_BYTES:
+            self._strip_outcomes()
+            value = self._encode()
         if len(value) > MAX_BUCKET_BYTES:
             self._back_off(now)
             return
@@ -187,6 +196,20 @@
             )
         )
 
+    def _encode(self) -> bytes:
+        claims = tuple(self._batch.values())
+        return encode_bucket(ClaimBucket(claims=claims))
+
+    def _strip_outcomes(self) -> None:
+        # Without an outcome a claim still keeps the request from running.
+        for attempt in self._attempts:
+            if attempt.outcome is not None:
+                attempt.life.forget()
+        self._batch = {
+            request_id: dataclasses.replace(claim, outcome=None)
+            for request_id, claim in self._batch.items()
+        }
+
     def _review(self, now: float) -> list[ClaimAttempt]:
         self._batch = self._collect(now)
         changed = []
@@ -226,6 +249,7 @@
         if event.sent:
             self._seen_at = None
         else:
+            self._pace.note_refused()
             for attempt, exposed_at in self._exposed:
                 attempt.exposed_at = exposed_at
         self._back_off(now)
--- a/packages/bluebellbay/bluebellbay/settings.py
+++ b/packages/bluebellbay/bluebellbay/settings.py
@@ -159,8 +159,8 @@
         Field(
             ge=0,
             le=60,
-            description="Seconds that the record of an outcome waits for a "
-            "claim to be written with.",
+            description="Longest time in seconds that the record of an "
+            "outcome waits, while the store refuses calls over its rate.",
         ),
     ] = 1.0
 
