--- a/packages/bluebellbay/bluebellbay/coordination/dispatch.py
+++ b/packages/bluebellbay/bluebellbay/coordination/dispatch.py
@@ -136,6 +136,7 @@
             snapshot=snapshot,
             sent_at=now,
         )
+        extra = task.may_have_run > 0
         self.legs[attempt] = leg
         task.legs.append(leg)
         task.tried.add(record.name)
@@ -157,6 +158,8 @@
                 server=record.name,
                 address=record.address,
                 timeout_s=timeout_s,
+                profile=request.profile,
+                extra=extra,
                 leg=LegRequest(
                     attempt=attempt,
                     request_id=request.request_id,
@@ -203,7 +206,7 @@
         :param leg: The leg.
         :param now: Present time in seconds.
         """
-        self.latencies.get(leg.server).add(now - leg.sent_at, now)
+        self.latencies.add(leg.server, now - leg.sent_at, now)
         self.ejection.note_success(leg.record)
 
     def note_failure(self, leg: Leg, now: float) -> None:
