--- a/packages/bluebellbay/bluebellbay/coordination/gate.py
+++ b/packages/bluebellbay/bluebellbay/coordination/gate.py
@@ -6,7 +6,7 @@
 from bluebellbay.coordination.leg import Run
 from bluebellbay.coordination.timer import Timed
 from bluebellbay.coordination.timer import TimerQueue
-from bluebellbay.state.fleet import PeerStatus
+from bluebellbay.protocol.peer import PeerStatus
 from bluebellbay.state.node import NodeState
 
 FIRST_RANK_LIMIT = 2.0
