Count a leg as extra only if an earlier one was not refused

Cause: the bench called a leg extra that replaced a refused one, although the refused leg did no work. Ruled out: taking the core's own word; the bench counts by itself.

--- a/packages/bench/bluebellbay_bench/throughput.py
+++ b/packages/bench/bluebellbay_bench/throughput.py
@@ -66,6 +66,7 @@
     :param half_p50_ms: Latency at half of that rate, 50th in 100.
     :param half_p99_ms: Latency at half of that rate, 99th in 100.
     :param memory_mb: Resident memory at the end.
+    :param idle_ms_s: Processor time in ms for each second without queries.
     """
 
     version: str
@@ -76,6 +77,7 @@
     half_p50_ms: float
     half_p99_ms: float
     memory_mb: float
+    idle_ms_s: float
 
 
 class MeasuredDaemon:
@@ -175,6 +177,18 @@
         return [item for run in runs for item in run.result()]
 
 
+def measure_idle(daemon: MeasuredDaemon, seconds: float) -> float:
+    """Measure what a daemon uses without queries.
+
+    :param daemon: The daemon.
+    :param seconds: Time in seconds.
+    :returns: Processor time in seconds for each second.
+    """
+    before_s = daemon.measure_cpu()
+    time.sleep(seconds)
+    return (daemon.measure_cpu() - before_s) / seconds
+
+
 def pace(daemon: MeasuredDaemon, rate: float, seconds: float) -> list[float]:
     """Send queries at a steady rate, whatever their answers take.
 
@@ -255,6 +269,7 @@
         rate = len(latencies) / used_s
         paced = pace(daemon, rate / 2, seconds)
         memory_mb = daemon.measure_memory()
+        idle_s = measure_idle(daemon, seconds)
     finally:
         daemon.stop()
     services = cluster.shape.fleets[0].indexes[0].services
@@ -267,6 +282,7 @@
         half_p50_ms=find_quantile(paced, 0.5) * MS_PER_S,
         half_p99_ms=find_quantile(paced, 0.99) * MS_PER_S,
         memory_mb=memory_mb,
+        idle_ms_s=idle_s * MS_PER_S,
     )
 
 
--- a/packages/bench/bluebellbay_bench/world.py
+++ b/packages/bench/bluebellbay_bench/world.py
@@ -1,5 +1,6 @@
 """One entry VM's view of its surroundings, in virtual time."""
 
+import collections
 from collections.abc import Callable
 import dataclasses
 import heapq
@@ -82,10 +83,13 @@
     """One leg that may have run.
 
     :param sent_at: Time in seconds from the start of the run.
-    :param extra: Whether another leg for the same range came before.
+    :param place: The query and the first key wanted.
+    :param extra: Whether another leg for the same range had gone before
+        that was not refused.
     """
 
     sent_at: float
+    place: tuple[str, int]
     extra: bool
 
 
@@ -119,7 +123,9 @@
         self._count = 0
         self._wake_at = math.inf
         self._platform_up = True
-        self._seen: set[tuple[str, int]] = set()
+        self._at_place: collections.Counter[tuple[str, int]] = (
+            collections.Counter()
+        )
         self._vms: dict[str, VmEntry] = {}
         self._sequence = 1
         self._servers: dict[str, FakeServer] = {}
@@ -294,10 +300,9 @@
         )
 
     def _step(self, event: Event, now: float) -> None:
-        if isinstance(event, LegRefused):
-            self.legs.pop(event.attempt, None)
-        if isinstance(event, LegFailed) and not event.sent:
-            self.legs.pop(event.attempt, None)
+        refused = isinstance(event, LegRefused)
+        if refused or (isinstance(event, LegFailed) and not event.sent):
+            self._forget_leg(event.attempt)
         for command in self._core.step(event, START_S + now):
             self._carry_out(command, now)
         wake = self._core.next_wake()
@@ -308,6 +313,11 @@
             self._wake_at = wake_at
             self._schedule(wake_at, self._wake)
 
+    def _forget_leg(self, attempt: str) -> None:
+        record = self.legs.pop(attempt, None)
+        if record is not None:
+            self._at_place[record.place] -= 1
+
     def _wake(self, now: float) -> None:
         if now >= self._wake_at:
             self._wake_at = math.inf
@@ -337,9 +347,11 @@
     def _send_leg(self, command: SendLeg, now: float) -> None:
         leg = command.leg
         place = (leg.request_id, leg.start)
-        extra = place in self._seen
-        self._seen.add(place)
-        self.legs[leg.attempt] = LegRecord(sent_at=now, extra=extra)
+        extra = self._at_place[place] > 0
+        self._at_place[place] += 1
+        self.legs[leg.attempt] = LegRecord(
+            sent_at=now, place=place, extra=extra
+        )
         self._servers[command.server].send(leg, now, command.timeout_s)
 
     def _read_vm_list(self, now: float) -> None:
