Make the admission limits and the probe time settings

Cause: operators could not set them, and the ranges stood nowhere. Ruled out: a setting for every constant; those left describe the learning.

--- a/packages/bluebellbay/bluebellbay/coordination/gate.py
+++ b/packages/bluebellbay/bluebellbay/coordination/gate.py
@@ -9,10 +9,7 @@
 from bluebellbay.protocol.peer import PeerStatus
 from bluebellbay.state.node import NodeState
 
-FIRST_RANK_LIMIT = 2.0
-LOWER_RANK_LIMIT = 1.0
 NEXT_RANK_FACTOR = 0.9
-WAIT_SHARE_OF_DELAY = 0.5
 CAPACITY_AGE_S = 0.25
 LEAST_TRUST = 0.3
 DISTRUST_FACTOR = 0.95
@@ -65,6 +62,7 @@
     ) -> None:
         self.outstanding = 0
         self._state = state
+        self._policy = state.settings.policy
         self._index = index
         self._timers = timers
         self._shed: list[Run] = []
@@ -82,14 +80,14 @@
         :param now: Present time in seconds.
         :returns: Whether it may start; if not it waits.
         """
-        if not self._state.settings.policy.admission_by_rank:
+        if not self._policy.admission_by_rank:
             return True
         rank = run.profile.rank - self._find_first_rank()
         if not self._is_blocked(rank) and self._has_room(rank, now):
             return True
         waiting = Waiting(run=run, rank=rank, gate=self)
         heapq.heappush(self._queue, (rank, next(self._order), waiting))
-        wait_s = WAIT_SHARE_OF_DELAY * (run.deadline - now)
+        wait_s = self._policy.admission_wait * (run.deadline - now)
         self._timers.add(now + wait_s, waiting)
         return False
 
@@ -156,8 +154,8 @@
         if not slots:
             return True
         if rank <= 0:
-            return self.outstanding < FIRST_RANK_LIMIT * slots
-        limit = LOWER_RANK_LIMIT * NEXT_RANK_FACTOR ** (rank - 1)
+            return self.outstanding < self._policy.first_rank_slots * slots
+        limit = self._policy.lower_rank_slots * NEXT_RANK_FACTOR ** (rank - 1)
         return self.outstanding < limit * slots * self._measure_trust(now)
 
     def _measure_trust(self, now: float) -> float:
--- a/packages/bluebellbay/bluebellbay/coordination/placement.py
+++ b/packages/bluebellbay/bluebellbay/coordination/placement.py
@@ -9,7 +9,6 @@
 
 HINT_WEIGHT = 0.2
 LEAST_START_SHARE = 0.05
-PROBE_S = 2.0
 UNKNOWN_LATENCY_S = 0.001
 
 
@@ -24,6 +23,7 @@
         self._state = state
         self._latencies = latencies
         self._by_load = state.settings.policy.choose_by_load
+        self._probe_s = state.settings.policy.probe_s
         self._slow_start_s = state.settings.policy.slow_start_s
 
     def choose(
@@ -93,7 +93,7 @@
         if record.outstanding:
             return False
         window = self._latencies.get(record.name)
-        if now - window.probed_at < PROBE_S:
+        if now - window.probed_at < self._probe_s:
             return False
         window.probed_at = now
         return True
--- a/packages/bluebellbay/bluebellbay/settings.py
+++ b/packages/bluebellbay/bluebellbay/settings.py
@@ -217,6 +217,42 @@
             description="Seconds over which a new server reaches its weight.",
         ),
     ] = 5.0
+    probe_s: Annotated[
+        float,
+        Field(
+            ge=0.1,
+            le=600,
+            description="Seconds after which a slow server gets one leg, to "
+            "see whether it has recovered.",
+        ),
+    ] = 2.0
+    first_rank_slots: Annotated[
+        float,
+        Field(
+            ge=0.1,
+            le=64,
+            description="Legs under way, as a multiple of the slots, below "
+            "which the first rank is admitted.",
+        ),
+    ] = 2.0
+    lower_rank_slots: Annotated[
+        float,
+        Field(
+            ge=0.1,
+            le=64,
+            description="The same for the rank after the first; each further "
+            "one gets a tenth less.",
+        ),
+    ] = 1.0
+    admission_wait: Annotated[
+        float,
+        Field(
+            ge=0,
+            le=1,
+            description="Share of its delay that a request may wait for "
+            "admission.",
+        ),
+    ] = 0.5
     health_poll_s: Annotated[
         float,
         Field(
