Try a server that refused for overload for longer

Cause: while a service's other replica restarted, the one left refused a leg three times within 35 ms, and the query gave the range up with most of its delay left. Ruled out: placing the leg elsewhere; no other replica is there. Conclusion: kept; refused tries ran nothing, so they are no extra load.

--- a/packages/bluebellbay/bluebellbay/coordination/search.py
+++ b/packages/bluebellbay/bluebellbay/coordination/search.py
@@ -23,7 +23,7 @@
 
 FIRST_PAUSE_S = 0.005
 LONGEST_PAUSE_S = 0.1
-LONGEST_TRIES = 3
+LONGEST_TRIES = 6
 LEAST_CHANCE = 0.5
 RECHECK_S = 0.05
 IDLE_SWEEP_GAP_S = 1.0
