Show the order of a shutdown through the facade

Cause: the machine that leads a node out was seen over processes only. Ruled out: taking a drain before the lag's end for the end; requests still come then. Before: broken in turn in a scratch copy and seen red, features/ shutdown.feature: a second request that begins the lag anew, 1 of 3; no limit, 1 of 3. After: features/shutdown.feature and daemon.feature, 10 scenarios passed. Conclusion: a second request changes nothing, and only the limit ends early.

--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -13,6 +13,7 @@
 import behave
 import hypothesis
 from hypothesis import strategies
+from node_settings import make_settings
 from twisted.internet import reactor
 import yaml
 
@@ -57,26 +58,6 @@
         return due
 
 
-def make_settings(**changes):
-    data = {
-        "node": {
-            "name": "vm-1",
-            "failure_domain": "fd-1",
-            "listen": "127.0.0.1:0",
-            "peer_listen": "127.0.0.1:0",
-        },
-        "platform": {
-            "store": "http://127.0.0.1:1",
-            "vm_list": "http://127.0.0.1:1",
-        },
-        "indexes": [{"name": "press-desk"}],
-        "log": {"decisions": False},
-    }
-    for section, values in changes.items():
-        data.setdefault(section, {}).update(values)
-    return data
-
-
 @behave.given("a daemon whose core holds requests back")
 def start_daemon(context):
     context.daemon = Daemon(
--- /dev/null
+++ b/features/steps/node_settings.py
@@ -0,0 +1,21 @@
+"""Settings of a node without a platform, for the steps."""
+
+
+def make_settings(**changes):
+    data = {
+        "node": {
+            "name": "vm-1",
+            "failure_domain": "fd-1",
+            "listen": "127.0.0.1:0",
+            "peer_listen": "127.0.0.1:0",
+        },
+        "platform": {
+            "store": "http://127.0.0.1:1",
+            "vm_list": "http://127.0.0.1:1",
+        },
+        "indexes": [{"name": "press-desk"}],
+        "log": {"decisions": False},
+    }
+    for section, values in changes.items():
+        data.setdefault(section, {}).update(values)
+    return data
--- /dev/null
+++ b/features/steps/shutdown_steps.py
@@ -0,0 +1,104 @@
+"""Steps about the order in which a node leaves."""
+
+import random
+
+import behave
+from node_settings import make_settings
+
+from bluebellbay.coordination.core import Core
+from bluebellbay.coordination.part import Part
+from bluebellbay.coordination.shutdown import ShutdownPart
+from bluebellbay.protocol.command import ReportHealth
+from bluebellbay.protocol.command import StopProcess
+from bluebellbay.protocol.event import AdmissionClosed
+from bluebellbay.protocol.event import QueriesDrained
+from bluebellbay.protocol.event import SharesClosed
+from bluebellbay.protocol.event import SharesGivenUp
+from bluebellbay.protocol.event import ShutdownRequested
+from bluebellbay.protocol.event import TimePassed
+from bluebellbay.settings import parse_settings
+
+
+class StageRecorder(Part):
+    """Keeps the internal events of the shutdown, with their times."""
+
+    @property
+    def handles(self):
+        return (AdmissionClosed, SharesGivenUp)
+
+    def step(self, event, now):
+        self.state.stages.append((now, type(event)))
+        return ()
+
+
+@behave.given(
+    "a node with a balancer's lag of {lag_s:g} s and a limit of {limit_s:g} s"
+)
+def make_leaving_node(context, lag_s, limit_s):
+    shutdown = {"balancer_lag_s": lag_s, "limit_s": limit_s}
+    context.core = Core(
+        settings=parse_settings(make_settings(shutdown=shutdown)).ok,
+        rng=random.Random(1),  # noqa: S311
+        parts=(ShutdownPart, StageRecorder),
+    )
+    context.stages = context.core.state.stages = []
+
+
+def feed(context, event, now):
+    for command in context.core.step(event, now):
+        if isinstance(command, ReportHealth | StopProcess):
+            context.stages.append((now, type(command)))
+
+
+@behave.when("it is asked to end at {now:g} s")
+def ask(context, now):
+    feed(context, ShutdownRequested(), now)
+
+
+@behave.when("time comes to {now:g} s")
+def pass_time(context, now):
+    wake_at = context.core.next_wake()
+    if wake_at is not None and wake_at <= now:
+        feed(context, TimePassed(), now)
+
+
+@behave.when("its requests are drained at {now:g} s")
+def drain(context, now):
+    feed(context, QueriesDrained(), now)
+
+
+@behave.when("its connections are closed at {now:g} s")
+def close(context, now):
+    feed(context, SharesClosed(), now)
+
+
+def check_last(context, now, kind):
+    assert context.stages[-1] == (now, kind), context.stages
+
+
+@behave.then("at {now:g} s it reports itself as leaving")
+def check_leaving(context, now):
+    check_last(context, now, ReportHealth)
+    assert len(context.stages) == 1, context.stages
+
+
+@behave.then("nothing more has happened to the leaving node")
+def check_nothing(context):
+    assert len(context.stages) == 1, context.stages
+
+
+@behave.then("at {now:g} s its admission is closed")
+def check_closed(context, now):
+    check_last(context, now, AdmissionClosed)
+
+
+@behave.then("at {now:g} s it gives up its connections")
+def check_given_up(context, now):
+    check_last(context, now, SharesGivenUp)
+
+
+@behave.then("at {now:g} s its process stops")
+def check_process_stops(context, now):
+    check_last(context, now, StopProcess)
+    kinds = [kind for _, kind in context.stages]
+    assert kinds.count(StopProcess) == 1, kinds
