--- a/packages/bluebellbay/bluebellbay/coordination/query.py
+++ b/packages/bluebellbay/bluebellbay/coordination/query.py
@@ -135,16 +135,22 @@
             run.start(now)
 
     def _pass_gate(self, gate: AdmissionGate, now: float) -> None:
-        dispatcher = self._dispatcher
         for shed in gate.pop_shed():
-            proof = shed.ledger.prove_nothing_ran().value
-            kind = NotRunKind.OVERLOADED
-            answer = dispatcher.build_not_run(shed, kind, proof, now)
-            dispatcher.finish(shed)
-            dispatcher.answer(shed, answer)
+            self._drop_unstarted(shed, NotRunKind.OVERLOADED, now)
         while (run := gate.pop_admitted(now)) is not None:
+            expires_at = run.request.expires_at
+            if expires_at is not None and expires_at <= now:
+                self._drop_unstarted(run, NotRunKind.EXPIRED, now)
+                continue
             run.start(now)
 
+    def _drop_unstarted(self, run: Run, kind: NotRunKind, now: float) -> None:
+        dispatcher = self._dispatcher
+        proof = run.ledger.prove_nothing_ran().value
+        answer = dispatcher.build_not_run(run, kind, proof, now)
+        dispatcher.finish(run)
+        dispatcher.answer(run, answer)
+
     def _find_fault(
         self, request: QueryRequest, now: float
     ) -> NotRunKind | None:
@@ -230,7 +236,7 @@
                 dispatcher.note_failure(leg, now)
                 leg.run.take_failure(leg, sent=True, expired=False, now=now)
             return
-        self._note_hints(leg, reply.load, reply.leaving)
+        leg.record.hinted_load = reply.load
         if not wanted:
             dispatcher.counters.dropped += 1
             return
@@ -251,7 +257,7 @@
                 leg.run.take_failure(leg, sent=True, expired=False, now=now)
             return
         dispatcher.note_not_run(leg)
-        self._note_hints(leg, refusal.load, refusal.leaving)
+        leg.record.hinted_load = refusal.load
         self._note_refusal(leg, refusal.reason, now)
         if wanted:
             leg.run.take_refusal(leg, refusal, now)
@@ -279,11 +285,6 @@
             return None
         return leg
 
-    def _note_hints(self, leg: Leg, load: float, leaving: bool) -> None:
-        leg.record.hinted_load = load
-        if leaving:
-            leg.record.leaving = True
-
     def _note_refusal(
         self, leg: Leg, reason: RefusalReason, now: float
     ) -> None:
@@ -301,8 +302,6 @@
                 table.deny_snapshot(
                     server=leg.server, snapshot=leg.snapshot, now=now
                 )
-            case RefusalReason.LEAVING:
-                leg.record.leaving = True
             case RefusalReason.OVERLOADED:
                 dispatcher = self._dispatcher
                 dispatcher.gates[leg.run.request.index].note_overload(now)
