--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -97,14 +97,17 @@
                 break
             node.waiting.pop(0)
             node.step(answer_one(context, command, way), context.claim_now)
-            if way == "loses" and isinstance(command, WriteKey):
+            if way in ("loses", "delays") and isinstance(command, WriteKey):
                 break
 
 
 def answer_one(context, command, way):
     failure = StoreFailed(
-        ticket=command.ticket, key=command.key, sent=way == "loses"
+        ticket=command.ticket, key=command.key, sent=way != "is down"
     )
+    if way == "delays" and isinstance(command, WriteKey):
+        context.delayed_write = command
+        return failure
     if way == "is down":
         return failure
     answer = context.claim_store.apply(command)
@@ -181,14 +184,47 @@
 
 @behave.given("a bucket of {request_id} that is almost full")
 def fill_bucket(context, request_id):
-    claim = Claim(
-        request_id="x" * (MAX_BUCKET_BYTES - 100),
-        token="",
-        expires_at=START_S + EXPIRY_S,
+    fill_to(context, request_id, MAX_BUCKET_BYTES - 100)
+
+
+@behave.given("a bucket of {request_id} with room for one claim only")
+def fill_bucket_but_one(context, request_id):
+    fill_to(context, request_id, MAX_BUCKET_BYTES - 250)
+
+
+def fill_to(context, request_id, size):
+    fill_with(
+        context,
+        request_id,
+        Claim(
+            request_id="x" * size,
+            token="",
+            expires_at=START_S + EXPIRY_S,
+        ),
     )
+
+
+@behave.given("a bucket of {request_id} that is almost full of an outcome")
+def fill_bucket_by_outcome(context, request_id):
+    outcome = Answer(
+        request_id="x" * (MAX_BUCKET_BYTES - 400), outcome=Outcome.ANSWERED
+    )
+    fill_with(
+        context,
+        request_id,
+        Claim(
+            request_id="other",
+            token="",
+            expires_at=START_S + EXPIRY_S,
+            outcome=outcome,
+        ),
+    )
+
+
+def fill_with(context, request_id, claim):
     key = name_bucket_key(request_id)
     value = encode_bucket(ClaimBucket(claims=(claim,)))
-    assert MAX_BUCKET_BYTES - 100 < len(value) <= MAX_BUCKET_BYTES
+    assert MAX_BUCKET_BYTES - 250 < len(value) <= MAX_BUCKET_BYTES, len(value)
     context.claim_store.values[key] = value
     context.claim_store.latest[key] = 1
 
@@ -243,6 +279,11 @@
     context.claim_now += seconds
 
 
+@behave.when("the delayed write reaches the store")
+def apply_delayed(context):
+    context.claim_store.apply(context.delayed_write)
+
+
 @behave.when("the store answers")
 def answer_claims(context):
     answer_all(context, "answers")
@@ -286,7 +327,14 @@
     assert told.outcome is None, told
 
 
-@behave.then("node {name} was told held with outcome {outcome}")
+@behave.then("node {name} was told held with outcome {outcome} at last")
+def check_held_last(context, name, outcome):
+    told = context.claiming[name].core.state.told[-1]
+    assert isinstance(told, ClaimHeld), told
+    assert told.outcome.outcome == outcome, told
+
+
+@behave.then("node {name} was told held with outcome {outcome:w}")
 def check_held_outcome(context, name, outcome):
     (told,) = context.claiming[name].core.state.told
     assert isinstance(told, ClaimHeld), told
