--- a/packages/bench/bluebellbay_bench/world.py
+++ b/packages/bench/bluebellbay_bench/world.py
@@ -300,9 +300,11 @@
         )
 
     def _step(self, event: Event, now: float) -> None:
-        refused = isinstance(event, LegRefused)
-        if refused or (isinstance(event, LegFailed) and not event.sent):
-            self._forget_leg(event.attempt)
+        match event:
+            case LegRefused() | LegFailed(sent=False):
+                self._forget_leg(event.attempt)
+            case _:
+                pass
         for command in self._core.step(event, START_S + now):
             self._carry_out(command, now)
         wake = self._core.next_wake()
