Build answers in one place, and list VMs by typed rows

Ruled out: a change of behaviour; the scenarios keep their assertions. Conclusion: AnswerBuilder builds and counts answers for every run.

--- a/packages/bluebellbay/bluebellbay/coordination/dispatch.py
+++ b/packages/bluebellbay/bluebellbay/coordination/dispatch.py
@@ -15,22 +15,17 @@
 from bluebellbay.coordination.poll import LEAST_GAP_S
 from bluebellbay.coordination.poll import MOST_POLLS_PER_S
 from bluebellbay.coordination.poll import PollTracker
+from bluebellbay.coordination.reply import AnswerBuilder
 from bluebellbay.coordination.snapshot import SnapshotPlanner
 from bluebellbay.coordination.timer import TimerQueue
 from bluebellbay.protocol.answer import Answer
-from bluebellbay.protocol.answer import build_failure
-from bluebellbay.protocol.answer import build_not_run
 from bluebellbay.protocol.command import AnswerCaller
 from bluebellbay.protocol.command import CancelLeg
 from bluebellbay.protocol.command import Field
 from bluebellbay.protocol.command import LogDecision
 from bluebellbay.protocol.command import PollServer
 from bluebellbay.protocol.command import SendLeg
-from bluebellbay.protocol.error import FailedKind
-from bluebellbay.protocol.error import NotRunKind
-from bluebellbay.protocol.error import UnknownKind
 from bluebellbay.protocol.leg import LegRequest
-from bluebellbay.protocol.proof import NothingRan
 from bluebellbay.state.latency import LatencyTable
 from bluebellbay.state.node import NodeState
 from bluebellbay.state.server import ServerRecord
@@ -58,6 +53,7 @@
         self.budgets = BudgetTable()
         self.polls = PollTracker()
         self.timers = TimerQueue()
+        self.answers = AnswerBuilder(state=state)
         self.legs: dict[str, Leg] = {}
         self.gates = {
             name: AdmissionGate(state=state, index=name, timers=self.timers)
@@ -308,61 +304,13 @@
         servers = settings.services * settings.replicas
         return max(LEAST_GAP_S, servers / MOST_POLLS_PER_S)
 
-    def build_not_run(
-        self, run: Run, kind: NotRunKind, proof: NothingRan, now: float
-    ) -> Answer:
-        """Build the answer to a run of which nothing ran.
-
-        :param run: The run.
-        :param kind: The error kind.
-        :param proof: Evidence that nothing ran.
-        :param now: Present time in seconds.
-        :returns: The answer.
-        """
-        return build_not_run(
-            kind,
-            proof,
-            request_id=run.request.request_id,
-            profile=run.request.profile,
-            config_revision=self.state.configuration.revision,
-            config_confirmed=self.is_confirmed(now),
-        )
-
-    def build_failure(
-        self, run: Run, kind: FailedKind | UnknownKind, now: float
-    ) -> Answer:
-        """Build the answer to a run of which some part may have run.
-
-        :param run: The run.
-        :param kind: The error kind.
-        :param now: Present time in seconds.
-        :returns: The answer.
-        """
-        return build_failure(
-            kind,
-            request_id=run.request.request_id,
-            profile=run.request.profile,
-            config_revision=self.state.configuration.revision,
-            config_confirmed=self.is_confirmed(now),
-        )
-
-    def is_confirmed(self, now: float) -> bool:
-        """Say whether the revision in force was lately confirmed.
-
-        :param now: Present time in seconds.
-        :returns: Whether it was.
-        """
-        return self.state.configuration.is_confirmed(
-            now=now, within_s=self.state.settings.fleet.confirm_s
-        )
-
     def answer(self, run: Run, answer: Answer) -> None:
         """Answer a run's caller.
 
         :param run: The run.
         :param answer: The whole answer.
         """
-        count_answer(self.state, answer)
+        self.answers.count(answer)
         sentence = f"Answered as {answer.outcome.value}."
         kind = answer.error.kind if answer.error else ""
         self.log(
@@ -381,17 +329,3 @@
         """
         run.finished = True
         self.finished.append(run)
-
-
-def count_answer(state: NodeState, answer: Answer) -> None:
-    """Count an answer for the metrics.
-
-    :param state: What the node knows.
-    :param answer: The answer.
-    """
-    counters = state.query_counters
-    outcome = answer.outcome.value
-    counters.outcomes[outcome] = counters.outcomes.get(outcome, 0) + 1
-    if answer.error is not None:
-        kind = answer.error.kind
-        counters.refusals[kind] = counters.refusals.get(kind, 0) + 1
--- a/packages/bluebellbay/bluebellbay/coordination/posting.py
+++ b/packages/bluebellbay/bluebellbay/coordination/posting.py
@@ -113,8 +113,8 @@
         :param now: Present time in seconds.
         """
         if outcome is None:
-            outcome = self._dispatcher.build_failure(
-                self, UnknownKind.CLAIMED_ELSEWHERE, now
+            outcome = self._dispatcher.answers.build_failure(
+                self.request, UnknownKind.CLAIMED_ELSEWHERE, now
             )
         self._machine.yield_to(outcome)
 
@@ -135,7 +135,7 @@
                 snapshot=reply.snapshot,
                 coverage=merger.measure(),
                 config_revision=self._dispatcher.state.configuration.revision,
-                config_confirmed=self._dispatcher.is_confirmed(now),
+                config_confirmed=self._dispatcher.answers.is_confirmed(now),
                 rows=merger.list_rows(),
             )
         )
@@ -165,8 +165,8 @@
         """
         if sent:
             self._machine.settle(
-                self._dispatcher.build_failure(
-                    self, UnknownKind.OUTCOME_LOST, now
+                self._dispatcher.answers.build_failure(
+                    self.request, UnknownKind.OUTCOME_LOST, now
                 )
             )
             return
@@ -225,8 +225,8 @@
         """
         proof = self.ledger.prove_nothing_ran()
         self.conclude(
-            self._dispatcher.build_not_run(
-                self, NotRunKind.STORE_UNAVAILABLE, proof.value, now
+            self._dispatcher.answers.build_not_run(
+                self.request, NotRunKind.STORE_UNAVAILABLE, proof.value, now
             )
         )
 
@@ -236,7 +236,9 @@
         :param now: Present time in seconds.
         """
         self._answer(
-            self._dispatcher.build_failure(self, UnknownKind.OUTCOME_LOST, now)
+            self._dispatcher.answers.build_failure(
+                self.request, UnknownKind.OUTCOME_LOST, now
+            )
         )
 
     def conclude(self, answer: Answer) -> None:
@@ -266,12 +268,12 @@
     def _settle_not_run(self, kind: NotRunKind, now: float) -> None:
         proof = self.ledger.prove_nothing_ran()
         if proof.is_none():
-            answer = self._dispatcher.build_failure(
-                self, UnknownKind.OUTCOME_LOST, now
+            answer = self._dispatcher.answers.build_failure(
+                self.request, UnknownKind.OUTCOME_LOST, now
             )
         else:
-            answer = self._dispatcher.build_not_run(
-                self, kind, proof.value, now
+            answer = self._dispatcher.answers.build_not_run(
+                self.request, kind, proof.value, now
             )
         self._machine.settle(answer)
 
--- a/packages/bluebellbay/bluebellbay/coordination/query.py
+++ b/packages/bluebellbay/bluebellbay/coordination/query.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterable
 
 from bluebellbay.coordination.admission import check_request
-from bluebellbay.coordination.dispatch import count_answer
 from bluebellbay.coordination.dispatch import Dispatcher
 from bluebellbay.coordination.dispatch import PART
 from bluebellbay.coordination.gate import AdmissionGate
@@ -14,8 +13,7 @@
 from bluebellbay.coordination.part import Step
 from bluebellbay.coordination.posting import Posting
 from bluebellbay.coordination.search import Search
-from bluebellbay.protocol.answer import build_failure
-from bluebellbay.protocol.answer import build_not_run
+from bluebellbay.protocol.answer import Answer
 from bluebellbay.protocol.command import AnswerCaller
 from bluebellbay.protocol.command import LogDecision
 from bluebellbay.protocol.error import NotRunKind
@@ -147,7 +145,9 @@
     def _drop_unstarted(self, run: Run, kind: NotRunKind, now: float) -> None:
         dispatcher = self._dispatcher
         proof = run.ledger.prove_nothing_ran().value
-        answer = dispatcher.build_not_run(run, kind, proof, now)
+        answer = dispatcher.answers.build_not_run(
+            run.request, kind, proof, now
+        )
         dispatcher.finish(run)
         dispatcher.answer(run, answer)
 
@@ -166,17 +166,11 @@
     def _refuse(
         self, event: QueryArrived, kind: NotRunKind, now: float
     ) -> None:
-        answer = build_not_run(
-            kind,
-            prove_nothing_sent(),
-            request_id=event.request.request_id,
-            profile=event.request.profile,
-            config_revision=self.state.configuration.revision,
-            config_confirmed=self._dispatcher.is_confirmed(now),
+        proof = prove_nothing_sent()
+        answer = self._dispatcher.answers.build_not_run(
+            event.request, kind, proof, now
         )
-        count_answer(self.state, answer)
-        self._log_refusal(event, kind.value)
-        self._dispatcher.emit(AnswerCaller(caller=event.caller, answer=answer))
+        self._turn_away(event, kind, answer)
 
     def _refuse_rival(
         self, event: QueryArrived, rival: Run, now: float
@@ -187,14 +181,18 @@
         # The attempt under way may run, so "not run" would mislead whoever
         # then posts again under another id.
         kind = UnknownKind.CLAIMED_ELSEWHERE
-        answer = build_failure(
-            kind,
-            request_id=event.request.request_id,
-            profile=event.request.profile,
-            config_revision=self.state.configuration.revision,
-            config_confirmed=self._dispatcher.is_confirmed(now),
+        answer = self._dispatcher.answers.build_failure(
+            event.request, kind, now
         )
-        count_answer(self.state, answer)
+        self._turn_away(event, kind, answer)
+
+    def _turn_away(
+        self,
+        event: QueryArrived,
+        kind: NotRunKind | UnknownKind,
+        answer: Answer,
+    ) -> None:
+        self._dispatcher.answers.count(answer)
         self._log_refusal(event, kind.value)
         self._dispatcher.emit(AnswerCaller(caller=event.caller, answer=answer))
 
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/coordination/reply.py
@@ -0,0 +1,89 @@
+"""Builds the answers to callers and counts them."""
+
+from bluebellbay.protocol.answer import Answer
+from bluebellbay.protocol.answer import build_failure
+from bluebellbay.protocol.answer import build_not_run
+from bluebellbay.protocol.error import FailedKind
+from bluebellbay.protocol.error import NotRunKind
+from bluebellbay.protocol.error import UnknownKind
+from bluebellbay.protocol.proof import NothingRan
+from bluebellbay.protocol.request import QueryRequest
+from bluebellbay.state.node import NodeState
+
+
+class AnswerBuilder:
+    """Adds to each answer what the node knows of its configuration.
+
+    :param state: What the node knows.
+    """
+
+    def __init__(self, *, state: NodeState) -> None:
+        self._state = state
+
+    def build_not_run(
+        self,
+        request: QueryRequest,
+        kind: NotRunKind,
+        proof: NothingRan,
+        now: float,
+    ) -> Answer:
+        """Build the answer to a request of which nothing ran.
+
+        :param request: The request.
+        :param kind: The error kind.
+        :param proof: Evidence that nothing ran.
+        :param now: Present time in seconds.
+        :returns: The answer.
+        """
+        return build_not_run(
+            kind,
+            proof,
+            request_id=request.request_id,
+            profile=request.profile,
+            config_revision=self._state.configuration.revision,
+            config_confirmed=self.is_confirmed(now),
+        )
+
+    def build_failure(
+        self,
+        request: QueryRequest,
+        kind: FailedKind | UnknownKind,
+        now: float,
+    ) -> Answer:
+        """Build the answer to a request of which some part may have run.
+
+        :param request: The request.
+        :param kind: The error kind.
+        :param now: Present time in seconds.
+        :returns: The answer.
+        """
+        return build_failure(
+            kind,
+            request_id=request.request_id,
+            profile=request.profile,
+            config_revision=self._state.configuration.revision,
+            config_confirmed=self.is_confirmed(now),
+        )
+
+    def is_confirmed(self, now: float) -> bool:
+        """Say whether the revision in force was lately confirmed.
+
+        :param now: Present time in seconds.
+        :returns: Whether it was.
+        """
+        return self._state.configuration.is_confirmed(
+            now=now, within_s=self._state.settings.fleet.confirm_s
+        )
+
+    def count(self, answer: Answer) -> None:
+        """Count an answer that is given.
+
+        :param answer: The answer.
+        """
+        counters = self._state.query_counters
+        outcome = answer.outcome.value
+        counters.outcomes[outcome] = counters.outcomes.get(outcome, 0) + 1
+        if answer.error is None:
+            return
+        kind = answer.error.kind
+        counters.refusals[kind] = counters.refusals.get(kind, 0) + 1
--- a/packages/bluebellbay/bluebellbay/coordination/search.py
+++ b/packages/bluebellbay/bluebellbay/coordination/search.py
@@ -424,17 +424,23 @@
             proof = self.ledger.prove_nothing_ran()
             if proof.is_some():
                 kind = self._name_refusal(now)
-                return dispatcher.build_not_run(self, kind, proof.value, now)
+                return dispatcher.answers.build_not_run(
+                    self.request, kind, proof.value, now
+                )
             if merger is None:
                 kind_failed = self._name_failure()
-                return dispatcher.build_failure(self, kind_failed, now)
+                return dispatcher.answers.build_failure(
+                    self.request, kind_failed, now
+                )
         assert merger is not None  # noqa: S101
         coverage = merger.measure()
         if (
             not coverage.complete
             and coverage.fraction < self.profile.coverage_floor
         ):
-            return dispatcher.build_failure(self, self._name_failure(), now)
+            return dispatcher.answers.build_failure(
+                self.request, self._name_failure(), now
+            )
         outcome = Outcome.ANSWERED if coverage.complete else Outcome.PARTIAL
         return Answer(
             request_id=self.request.request_id,
@@ -443,7 +449,7 @@
             snapshot=merger.snapshot,
             coverage=coverage,
             config_revision=dispatcher.state.configuration.revision,
-            config_confirmed=dispatcher.is_confirmed(now),
+            config_confirmed=dispatcher.answers.is_confirmed(now),
             rows=merger.list_rows(),
         )
 
--- a/packages/bluebellctl/bluebellctl/vm.py
+++ b/packages/bluebellctl/bluebellctl/vm.py
@@ -1,10 +1,14 @@
 """The VM commands."""
 
 import argparse
+import dataclasses
 
 from bluebellbay.coordination.change import VmLeave
 from bluebellbay.coordination.change import VmReturn
+from bluebellbay.protocol.configuration import ConfigurationDocument
 from bluebellbay.protocol.configuration import LeavingMark
+from bluebellbay.protocol.status import NodeStatus
+from bluebellbay.protocol.status import ServerSummary
 from bluebellbay.settings import Settings
 from bluebellctl.change import make_change
 from bluebellctl.change import read_stored
@@ -14,6 +18,37 @@
 from bluebellctl.report import Table
 from bluebellctl.store import OperatorStore
 
+HEADINGS = (
+    "vm",
+    "service",
+    "failure domain",
+    "mark",
+    "leaving at",
+    "outstanding",
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class VmRow:
+    """One backend server, over all entry VMs that could be asked.
+
+    :param vm: Name of its VM.
+    :param service: Its service.
+    :param failure_domain: Its failure domain.
+    :param mark: ``leaving`` or ``returned`` by an operator, or empty.
+    :param leaving_at: Entry VMs that give it no new work.
+    :param asked: Entry VMs that answered.
+    :param outstanding: Legs under way there, from all that answered.
+    """
+
+    vm: str
+    service: str
+    failure_domain: str
+    mark: str
+    leaving_at: int
+    asked: int
+    outstanding: int
+
 
 async def list_vms(
     settings: Settings, arguments: argparse.Namespace
@@ -27,7 +62,6 @@
     del arguments
     stored = await read_stored(OperatorStore(settings=settings.platform))
     document = stored.ok.document if stored.is_ok() else None
-    marks = {mark.vm: mark for mark in (document.marks if document else ())}
     answers = await ask_statuses(settings)
     statuses = [answer.status for answer in answers if answer.status]
     if not statuses:
@@ -35,44 +69,47 @@
             code=ExitCode.UNREACHABLE,
             message="No entry VM can be reached.",
         )
-    rows = []
-    servers = {
-        server.name: server for item in statuses for server in item.servers
-    }
-    for name in sorted(servers):
-        server = servers[name]
-        seen = [
-            item
-            for status in statuses
-            for item in status.servers
-            if item.name == name
-        ]
-        leaving = sum(item.leaving for item in seen)
-        rows.append(
-            (
-                name,
-                server.service,
-                server.failure_domain,
-                _describe_mark(marks.get(name)),
-                f"{leaving} of {len(statuses)}",
-                sum(item.outstanding for item in seen),
-            )
-        )
+    rows = _build_rows(statuses, document)
     return Report(
         code=ExitCode.DONE,
         message="" if stored.is_ok() else stored.error.message,
         table=Table(
-            headings=(
-                "vm",
-                "service",
-                "failure domain",
-                "mark",
-                "leaving at",
-                "outstanding",
-            ),
-            rows=tuple(rows),
+            headings=HEADINGS, rows=tuple(_list_cells(row) for row in rows)
         ),
-        data=[servers[name] for name in sorted(servers)],
+        data=rows,
+    )
+
+
+def _build_rows(
+    statuses: list[NodeStatus], document: ConfigurationDocument | None
+) -> tuple[VmRow, ...]:
+    marks = {mark.vm: mark for mark in (document.marks if document else ())}
+    seen: dict[str, list[ServerSummary]] = {}
+    for status in statuses:
+        for server in status.servers:
+            seen.setdefault(server.name, []).append(server)
+    return tuple(
+        VmRow(
+            vm=name,
+            service=views[0].service,
+            failure_domain=views[0].failure_domain,
+            mark=_describe_mark(marks.get(name)),
+            leaving_at=sum(view.leaving for view in views),
+            asked=len(statuses),
+            outstanding=sum(view.outstanding for view in views),
+        )
+        for name, views in sorted(seen.items())
+    )
+
+
+def _list_cells(row: VmRow) -> tuple[object, ...]:
+    return (
+        row.vm,
+        row.service,
+        row.failure_domain,
+        row.mark,
+        f"{row.leaving_at} of {row.asked}",
+        row.outstanding,
     )
 
 
--- a/tools/capacity_page.py
+++ b/tools/capacity_page.py
@@ -104,7 +104,8 @@
     return [
         Need(
             name="peers: processor time",
-            need=of["peer_cpu_ms_s"] + of["peer_messages_s"] * 2 * of["socket_ms"],
+            need=of["peer_cpu_ms_s"]
+            + of["peer_messages_s"] * 2 * of["socket_ms"],
             limit=BUDGET_CPU_MS_S,
             unit="ms/s",
             working="core of the loop at 480 nodes, and a socket call for "
@@ -283,8 +284,7 @@
     rows = ["| slope | value | unit | command |", "| --- | --- | --- | --- |"]
     for name, slope in slopes.items():
         rows.append(
-            f"| {name} | {slope.value:g} | {slope.unit} | "
-            f"`{slope.command}` |"
+            f"| {name} | {slope.value:g} | {slope.unit} | `{slope.command}` |"
         )
     return "\n".join(rows)
 
