Welcome the balancer's requests only with a configuration

Cause: a new entry VM reported itself healthy before it had a configuration, so the balancer sent it requests that it could but refuse. Ruled out: waiting for shares too, as a VM that is alone would then be without health for the linger time and callers without any entry VM.

--- a/features/daemon.feature
+++ b/features/daemon.feature
@@ -30,6 +30,8 @@
 
   Scenario: Health, status, configuration and metrics are served
     Given a daemon whose core holds requests back
+    Then GET "/v1/health" gives status 503
+    When the core reports itself as healthy
     Then GET "/v1/health" gives status 200
     And GET "/v1/status" gives status 200
     And GET "/v1/configuration" gives status 404
--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -1,5 +1,16 @@
 Feature: A node leaves in order and a second request changes nothing
 
+  Scenario: A node is healthy only once a configuration is in force
+    Given a node with a balancer's lag of 5 s and a limit of 90 s
+    When time comes to 1 s
+    Then the balancer was told ""
+    When a configuration comes into force at 2 s
+    Then the balancer was told "healthy at 2 s"
+    When a configuration comes into force at 3 s
+    And it is asked to end at 4 s
+    And a configuration comes into force at 5 s
+    Then the balancer was told "healthy at 2 s, leaving at 4 s"
+
   Scenario: Each step waits for the one before
     Given a node with a balancer's lag of 5 s and a limit of 90 s
     When it is asked to end at 0 s
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -210,6 +210,11 @@
     assert line in context.body.splitlines(), context.body
 
 
+@behave.when("the core reports itself as healthy")
+def report_healthy(context):
+    do_at_core(context, ReportHealth(healthy=True))
+
+
 @behave.when("the core reports itself as leaving")
 def report_leaving(context):
     do_at_core(context, ReportHealth(healthy=False))
--- a/features/steps/fleet_process_steps.py
+++ b/features/steps/fleet_process_steps.py
@@ -135,7 +135,7 @@
     context.add_cleanup(cluster.close)
     cluster.start_platform()
     cluster.start_daemons()
-    cluster.wait_until_healthy()
+    cluster.wait_until_up()
     done = run_command(
         cluster.daemons["entry-1"].settings_path,
         *("profile", "set", PROFILE),
--- a/features/steps/shutdown_steps.py
+++ b/features/steps/shutdown_steps.py
@@ -11,6 +11,7 @@
 from bluebellbay.protocol.command import ReportHealth
 from bluebellbay.protocol.command import StopProcess
 from bluebellbay.protocol.event import AdmissionClosed
+from bluebellbay.protocol.event import ConfigurationChanged
 from bluebellbay.protocol.event import QueriesDrained
 from bluebellbay.protocol.event import SharesClosed
 from bluebellbay.protocol.event import SharesGivenUp
@@ -42,12 +43,16 @@
         parts=(ShutdownPart, StageRecorder),
     )
     context.stages = context.core.state.stages = []
+    context.told = []
 
 
 def feed(context, event, now):
     for command in context.core.step(event, now):
         if isinstance(command, ReportHealth | StopProcess):
             context.stages.append((now, type(command)))
+        if isinstance(command, ReportHealth):
+            word = "healthy" if command.healthy else "leaving"
+            context.told.append(f"{word} at {now:g} s")
 
 
 @behave.when("it is asked to end at {now:g} s")
@@ -55,6 +60,21 @@
     feed(context, ShutdownRequested(), now)
 
 
+@behave.when("a configuration comes into force at {now:g} s")
+def configure(context, now):
+    feed(context, ConfigurationChanged(revision=int(now)), now)
+
+
+@behave.then('the balancer was told "{told}"')
+def check_told(context, told):
+    assert ", ".join(context.told) == told, context.told
+
+
+@behave.then('the balancer was told ""')
+def check_told_nothing(context):
+    assert not context.told, context.told
+
+
 @behave.when("time comes to {now:g} s")
 def pass_time(context, now):
     wake_at = context.core.next_wake()
--- a/packages/bluebellbay/bluebellbay/coordination/shutdown.py
+++ b/packages/bluebellbay/bluebellbay/coordination/shutdown.py
@@ -1,4 +1,4 @@
-"""Leads a node through its graceful shutdown."""
+"""Leads a node from its start to the end of its graceful shutdown."""
 
 from collections.abc import Iterable
 from typing import Protocol
@@ -11,6 +11,7 @@
 from bluebellbay.protocol.command import ReportHealth
 from bluebellbay.protocol.command import StopProcess
 from bluebellbay.protocol.event import AdmissionClosed
+from bluebellbay.protocol.event import ConfigurationChanged
 from bluebellbay.protocol.event import Event
 from bluebellbay.protocol.event import QueriesDrained
 from bluebellbay.protocol.event import SharesClosed
@@ -23,6 +24,9 @@
 
 
 class _Inputs(Protocol):
+    def configure(self, now: float) -> None:
+        """A configuration is in force."""
+
     def request(self, now: float) -> None:
         """The process was asked to end."""
 
@@ -42,6 +46,9 @@
 class ShutdownPart(Part):
     """Waits for the balancer, closes admission, drains, and then stops.
 
+    The balancer is sent for only once a configuration is in force, as the
+    node could but refuse what it sends before that.
+
     A second request changes nothing; only the limit ends it early.
 
     :param state: The node's shared state.
@@ -57,7 +64,13 @@
     @property
     def handles(self) -> tuple[type, ...]:
         """The kinds of event that the part wants to be told."""
-        return (ShutdownRequested, QueriesDrained, SharesClosed, TimePassed)
+        return (
+            ConfigurationChanged,
+            ShutdownRequested,
+            QueriesDrained,
+            SharesClosed,
+            TimePassed,
+        )
 
     def step(self, event: Event, now: float) -> Iterable[Step]:
         """Take one event.
@@ -67,6 +80,8 @@
         :returns: Commands and internal events, in order.
         """
         match event:
+            case ConfigurationChanged():
+                self._machine.configure(now)
             case ShutdownRequested():
                 self._machine.request(now)
             case QueriesDrained():
@@ -99,6 +114,11 @@
     part.steps.append(LogDecision(part=PART, sentence=sentence))
 
 
+def _do_serve(inputs: _Inputs, part: ShutdownPart, now: float) -> None:
+    part.steps.append(ReportHealth(healthy=True))
+    _log(part, "Serving.")
+
+
 def _do_leave(inputs: _Inputs, part: ShutdownPart, now: float) -> None:
     settings = part.state.settings.shutdown
     part.lag_ends_at = now + settings.balancer_lag_s
@@ -130,12 +150,15 @@
 
 def _make_builder() -> TypeMachineBuilder[_Inputs, ShutdownPart]:
     builder = TypeMachineBuilder(_Inputs, ShutdownPart)
+    starting = builder.state("starting")
     serving = builder.state("serving")
     leaving = builder.state("leaving")
     draining = builder.state("draining")
     closing = builder.state("closing")
     over = builder.state("over")
-    serving.upon(_Inputs.request).to(leaving)(_do_leave)
+    starting.upon(_Inputs.configure).to(serving)(_do_serve)
+    for state in (starting, serving):
+        state.upon(_Inputs.request).to(leaving)(_do_leave)
     leaving.upon(_Inputs.pass_lag).to(draining)(_do_close_admission)
     draining.upon(_Inputs.drain).to(closing)(_do_give_up_shares)
     closing.upon(_Inputs.close).to(over)(_do_stop)
@@ -143,9 +166,11 @@
         state.upon(_Inputs.pass_limit).to(over)(_do_stop)
     for state in (leaving, draining, closing, over):
         state.upon(_Inputs.request).loop().returns(None)
-    for state in (serving, leaving, closing, over):
+    for state in (serving, leaving, draining, closing, over):
+        state.upon(_Inputs.configure).loop().returns(None)
+    for state in (starting, serving, leaving, closing, over):
         state.upon(_Inputs.drain).loop().returns(None)
-    for state in (serving, leaving, draining, over):
+    for state in (starting, serving, leaving, draining, over):
         state.upon(_Inputs.close).loop().returns(None)
     return builder
 
--- a/packages/bluebellbay/bluebellbay/protocol/command.py
+++ b/packages/bluebellbay/bluebellbay/protocol/command.py
@@ -151,7 +151,8 @@
 class ReportHealth:
     """Set what this node's health endpoint tells the balancer.
 
-    :param healthy: False once this VM is leaving.
+    :param healthy: False before a configuration is in force and once this
+        VM is leaving.
     """
 
     healthy: bool
--- a/packages/bluebellbay/bluebellbay/protocol/status.py
+++ b/packages/bluebellbay/bluebellbay/protocol/status.py
@@ -49,7 +49,7 @@
 
     :param name: Name of the VM.
     :param failure_domain: Its failure domain.
-    :param healthy: False once it is leaving.
+    :param healthy: False before it serves and once it is leaving.
     :param config_revision: Configuration revision in force; 0 for none.
     :param config_change_id: Change id of that revision; empty for none.
     :param config_confirmed: Whether it was lately seen in the store.
--- a/packages/bluebellbay/bluebellbay/transport/caller.py
+++ b/packages/bluebellbay/bluebellbay/transport/caller.py
@@ -156,7 +156,7 @@
         self._read_status = read_status
         self._read_configuration = read_configuration
         self._read_metrics = read_metrics
-        self._healthy = True
+        self._healthy = False
         self._last_caller = 0
         self._exchanges: dict[int, _Exchange] = {}
         self._port: Any = None
--- a/packages/bluebellbayd/bluebellbayd/daemon.py
+++ b/packages/bluebellbayd/bluebellbayd/daemon.py
@@ -82,7 +82,7 @@
         self._events: collections.deque[Event] = collections.deque()
         self._stepping = False
         self._stopping = False
-        self._healthy = True
+        self._healthy = False
         self._in_flight: set[int] = set()
         self._wake: DelayedCall | None = None
         self._wake_at = 0.0
--- a/packages/bluebellctl/bluebellctl/status.py
+++ b/packages/bluebellctl/bluebellctl/status.py
@@ -2,6 +2,7 @@
 
 import argparse
 
+from bluebellbay.protocol.status import NodeStatus
 from bluebellbay.settings import Settings
 from bluebellctl.exit_code import ExitCode
 from bluebellctl.fleet import ask_statuses
@@ -34,7 +35,7 @@
     return (
         answer.name,
         answer.failure_domain,
-        "serving" if status.healthy else "leaving",
+        _describe_state(status),
         status.config_revision,
         "yes" if status.config_confirmed else "no",
         f"{alive} of {len(status.peers)}",
@@ -43,6 +44,12 @@
     )
 
 
+def _describe_state(status: NodeStatus) -> str:
+    if status.healthy:
+        return "serving"
+    return "leaving" if status.config_revision else "no configuration"
+
+
 async def show_status(
     settings: Settings, arguments: argparse.Namespace
 ) -> Report:
--- a/packages/standins/bluebellbay_standins/cluster.py
+++ b/packages/standins/bluebellbay_standins/cluster.py
@@ -171,6 +171,11 @@
             self._stack.callback(daemon.child.kill)
             daemon.start()
 
+    def wait_until_up(self) -> None:
+        """Wait until every daemon answers operators."""
+        for daemon in self.daemons.values():
+            daemon.wait_until_up()
+
     def wait_until_healthy(self) -> None:
         """Wait until every daemon welcomes requests."""
         for daemon in self.daemons.values():
--- a/packages/standins/bluebellbay_standins/demo.py
+++ b/packages/standins/bluebellbay_standins/demo.py
@@ -170,7 +170,7 @@
             done = self._set_profile(profile)
             require(done.exit_code == 0, f"{profile.name}: {done}")
             yield f"   {profile.name}: {summarise(done.output)}"
-        self._cluster.wait_until_healthy()
+        self._cluster.wait_until_up()
         wait_until(self._serves_all, "every index to be served")
 
     def _query_all(self) -> Iterator[str]:
--- a/packages/standins/bluebellbay_standins/process.py
+++ b/packages/standins/bluebellbay_standins/process.py
@@ -248,6 +248,17 @@
             timeout_s,
         )
 
+    def wait_until_up(self, timeout_s: float = READY_TIMEOUT_S) -> None:
+        """Wait until the daemon answers operators, with or without health.
+
+        :param timeout_s: Time in seconds after which to give up.
+        """
+        wait_until(
+            lambda: self.probe("/v1/status").status == 200,
+            f"{self.name} to be up",
+            timeout_s,
+        )
+
     def probe(self, path: str) -> Reply:
         """Read an endpoint; status 0 if it can't be reached.
 
