Give each role's processor time and memory

Cause: the page's table of roles had state and messages only. Conclusion: the columns are worked out from the same slopes; what was not measured apart, a watcher's share, is said.

--- a/tools/capacity_page.py
+++ b/tools/capacity_page.py
@@ -315,6 +315,28 @@
     return "\n".join(rows)
 
 
+def describe_roles(of: dict[str, float]) -> dict[str, str]:
+    """Word the figures of the table of roles.
+
+    :param of: The slopes' values.
+    :returns: The words, by their names in the template.
+    """
+    node_legs_s = QUERIES_S * LEGS_A_QUERY / NODES
+    polls_ms = REPLICAS / HEALTH_POLL_S * of["poll_us"] / 1000
+    return {
+        "leg_cores": f"{node_legs_s * of['daemon_leg_us'] / 1e6:.0f}",
+        "daemon_mb": f"{of['daemon_mb']:.0f}",
+        "messages": f"{of['peer_messages_s']:.1f}",
+        "peer_bytes": f"{of['peer_bytes_s']:,.0f}",
+        "peers_ms": f"{of['peer_cpu_ms_s']:.1f}",
+        "lists_ms": f"{of['list_ms'] / VM_LIST_POLL_S:.0f}",
+        "polls_ms": f"{polls_ms:,.0f}",
+        "core_mb": f"{of['core_mb']:.2f}",
+        "store_calls": f"{of['store_calls_s']:.1f}",
+        "watches": f"{of['store_watches']:.0f}",
+    }
+
+
 def print_page() -> str:
     """Make the page.
 
@@ -324,7 +346,9 @@
     template = (ROOT / "docs" / "capacity.template.md").read_text(
         encoding="utf-8"
     )
+    of = {name: slope.value for name, slope in slopes.items()}
     values: dict[str, Any] = {
+        **describe_roles(of),
         "needs": print_needs(list_needs(slopes)),
         "slopes": print_slopes(slopes),
         "legs": f"{QUERIES_S * LEGS_A_QUERY:,}",
