Drop counts of answers that nothing reads

Cause: each answer was counted by outcome and by error kind in the node's state and again in the metrics; only the metrics are read. Ruled out: publishing the state's counts instead, as they lack the profile. After: formatter, linters and types clean; the query, error, daemon and page scenarios pass (51 passed, 0 failed); the whole suite was not run again. Conclusion: behaviour as before, less work for each answer.

--- a/packages/bluebellbay/bluebellbay/coordination/dispatch.py
+++ b/packages/bluebellbay/bluebellbay/coordination/dispatch.py
@@ -310,7 +310,6 @@
         :param run: The run.
         :param answer: The whole answer.
         """
-        self.answers.count(answer)
         sentence = f"Answered as {answer.outcome.value}."
         kind = answer.error.kind if answer.error else ""
         self.log(
--- a/packages/bluebellbay/bluebellbay/coordination/query.py
+++ b/packages/bluebellbay/bluebellbay/coordination/query.py
@@ -192,7 +192,6 @@
         kind: NotRunKind | UnknownKind,
         answer: Answer,
     ) -> None:
-        self._dispatcher.answers.count(answer)
         self._log_refusal(event, kind.value)
         self._dispatcher.emit(AnswerCaller(caller=event.caller, answer=answer))
 
--- a/packages/bluebellbay/bluebellbay/coordination/reply.py
+++ b/packages/bluebellbay/bluebellbay/coordination/reply.py
@@ -1,4 +1,4 @@
-"""Builds the answers to callers and counts them."""
+"""Builds the answers to callers."""
 
 from bluebellbay.protocol.answer import Answer
 from bluebellbay.protocol.answer import build_failure
@@ -74,16 +74,3 @@
         return self._state.configuration.is_confirmed(
             now=now, within_s=self._state.settings.fleet.confirm_s
         )
-
-    def count(self, answer: Answer) -> None:
-        """Count an answer that is given.
-
-        :param answer: The answer.
-        """
-        counters = self._state.query_counters
-        outcome = answer.outcome.value
-        counters.outcomes[outcome] = counters.outcomes.get(outcome, 0) + 1
-        if answer.error is None:
-            return
-        kind = answer.error.kind
-        counters.refusals[kind] = counters.refusals.get(kind, 0) + 1
--- a/packages/bluebellbay/bluebellbay/state/counter.py
+++ b/packages/bluebellbay/bluebellbay/state/counter.py
@@ -15,8 +15,6 @@
     :param cancelled: Legs that were told to stop.
     :param dropped: Replies and refusals that fitted no leg in flight.
     :param ejections: Servers set aside.
-    :param outcomes: Requests ended, by outcome.
-    :param refusals: Requests refused as not run, by error kind.
     """
 
     first_legs: int = 0
@@ -27,5 +25,3 @@
     cancelled: int = 0
     dropped: int = 0
     ejections: int = 0
-    outcomes: dict[str, int] = dataclasses.field(default_factory=dict)
-    refusals: dict[str, int] = dataclasses.field(default_factory=dict)
