--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,13 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
-PACKAGES := $(wildcard packages/*)
+PACKAGES := $(wildcard packages/*) platform
 
 .PHONY: all demo test bench format
 
 all: test
 
-$(VENV)/stamp: requirements.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/stamp: requirements.txt $(wildcard packages/*/pyproject.toml) \
+		platform/pyproject.toml
 	python3 -m venv $(VENV)
 	$(VENV)/bin/pip install --quiet --requirement requirements.txt
 	$(VENV)/bin/pip install --quiet --no-deps --no-build-isolation \
--- a/packages/bluebellbay/bluebellbay/coordination/budget.py
+++ b/packages/bluebellbay/bluebellbay/coordination/budget.py
@@ -8,7 +8,9 @@
 WINDOW_S = 10.0
 
 
-class _Window:
+class SlidingCount:
+    """A count over the last seconds."""
+
     __slots__ = ("_entries", "total")
 
     def __init__(self) -> None:
@@ -18,10 +20,19 @@
         self.total = 0
 
     def add(self, count: int, now: float) -> None:
+        """Count something.
+
+        :param count: How many.
+        :param now: Present time in seconds.
+        """
         self._entries.append((now, count))
         self.total += count
 
     def expire(self, before: float) -> None:
+        """Forget what is too old.
+
+        :param before: Time in seconds of the oldest that is kept.
+        """
         entries = self._entries
         while entries and entries[0][0] < before:
             self.total -= entries.popleft()[1]
@@ -40,8 +51,8 @@
     """
 
     def __init__(self, *, delay_s: float) -> None:
-        self._first = _Window()
-        self._extra = _Window()
+        self._first = SlidingCount()
+        self._extra = SlidingCount()
         self._first_s = WINDOW_S - delay_s
 
     def add_first(self, now: float) -> None:
--- a/packages/bluebellbay/bluebellbay/coordination/core.py
+++ b/packages/bluebellbay/bluebellbay/coordination/core.py
@@ -1,10 +1,10 @@
 """The facade of the decision core: events in, commands out."""
 
-import collections
 import random
 
 from bluebellbay.coordination.claim import ClaimPart
 from bluebellbay.coordination.configuration import ConfigurationPart
+from bluebellbay.coordination.facade import Facade
 from bluebellbay.coordination.leaving import LeavingPart
 from bluebellbay.coordination.membership import MembershipPart
 from bluebellbay.coordination.part import Part
@@ -12,14 +12,11 @@
 from bluebellbay.coordination.server import ServerPart
 from bluebellbay.coordination.share import SharePart
 from bluebellbay.coordination.shutdown import ShutdownPart
-from bluebellbay.protocol.command import Command
-from bluebellbay.protocol.event import Event
-from bluebellbay.protocol.event import INTERNAL_EVENTS
 from bluebellbay.settings import Settings
 from bluebellbay.state.node import NodeState
 
 
-class Core:
+class Core(Facade):
     """Every decision of one node; it does no input or output.
 
     :param settings: The node's settings.
@@ -37,42 +34,7 @@
     ) -> None:
         self.state = NodeState(settings=settings, rng=rng)
         classes = parts if parts is not None else list_parts()
-        self._parts = tuple(cls(state=self.state) for cls in classes)
-        self._by_event: dict[type, list[Part]] = {}
-        for part in self._parts:
-            for kind in part.handles:
-                self._by_event.setdefault(kind, []).append(part)
-
-    def step(self, event: Event, now: float) -> tuple[Command, ...]:
-        """Take one event and everything that follows from it inside.
-
-        :param event: The event.
-        :param now: Present time in seconds, Unix time; it must not go back.
-        :returns: Commands for the transports, in order.
-        """
-        commands: list[Command] = []
-        pending = collections.deque((event,))
-        while pending:
-            current = pending.popleft()
-            for part in self._by_event.get(type(current), ()):
-                for item in part.step(current, now):
-                    if isinstance(item, INTERNAL_EVENTS):
-                        pending.append(item)  # type: ignore[arg-type]
-                    else:
-                        commands.append(item)  # type: ignore[arg-type]
-        return tuple(commands)
-
-    def next_wake(self) -> float | None:
-        """Name the time at which ``TimePassed`` is due.
-
-        :returns: Time in seconds, or none if no timer is set.
-        """
-        wakes = [
-            wake
-            for wake in (part.next_wake() for part in self._parts)
-            if wake is not None
-        ]
-        return min(wakes, default=None)
+        super().__init__(parts=tuple(cls(state=self.state) for cls in classes))
 
 
 def list_parts() -> tuple[type[Part], ...]:
--- a/packages/bluebellbay/bluebellbay/coordination/dispatch.py
+++ b/packages/bluebellbay/bluebellbay/coordination/dispatch.py
@@ -6,7 +6,6 @@
 from bluebellbay.coordination.ejection import EjectionPolicy
 from bluebellbay.coordination.gate import AdmissionGate
 from bluebellbay.coordination.hedge import HedgePolicy
-from bluebellbay.coordination.hedge import SILENCE_FACTOR
 from bluebellbay.coordination.leg import Leg
 from bluebellbay.coordination.leg import Run
 from bluebellbay.coordination.leg import Task
@@ -16,6 +15,7 @@
 from bluebellbay.coordination.poll import MOST_POLLS_PER_S
 from bluebellbay.coordination.poll import PollTracker
 from bluebellbay.coordination.reply import AnswerBuilder
+from bluebellbay.coordination.scarcity import SILENCE_FACTOR
 from bluebellbay.coordination.snapshot import SnapshotPlanner
 from bluebellbay.coordination.timer import TimerQueue
 from bluebellbay.protocol.answer import Answer
--- a/packages/bluebellbay/bluebellbay/coordination/hedge.py
+++ b/packages/bluebellbay/bluebellbay/coordination/hedge.py
@@ -8,25 +8,8 @@
 from bluebellbay.state.latency import LEAST_SAMPLES
 
 BUDGET_USE = 0.8
-SILENCE_FACTOR = 4.0
 COLD_SHARE_OF_DELAY = 0.2
 LEAST_WAIT_S = 0.001
-EASY_USE = 0.7
-
-
-def find_patience(use: float) -> float:
-    """Say how much longer to wait, as the budget for extra legs runs low.
-
-    While much of it is left, legs are hedged at their usual limit; then
-    what is left goes to those that are latest.
-
-    :param use: Part of the budget that is used.
-    :returns: A factor of the usual limit.
-    """
-    if use <= EASY_USE:
-        return 1.0
-    scarcity = min(1.0, (use - EASY_USE) / (1 - EASY_USE))
-    return 1 + scarcity * (SILENCE_FACTOR - 1)
 
 
 class HedgePolicy:
--- a/packages/bluebellbay/bluebellbay/coordination/part.py
+++ b/packages/bluebellbay/bluebellbay/coordination/part.py
@@ -1,46 +1,19 @@
-"""The abstract base class of the parts that make up the core."""
+"""The base class of the parts that decide on queries over key ranges."""
 
 import abc
-from collections.abc import Iterable
 
-from bluebellbay.protocol.command import Command
-from bluebellbay.protocol.event import Event
-from bluebellbay.protocol.event import InternalEvent
+from bluebellbay.coordination.base_part import BasePart
+from bluebellbay.coordination.base_part import Step
 from bluebellbay.state.node import NodeState
 
-Step = Command | InternalEvent
+__all__ = ("Part", "Step")
 
 
-class Part(abc.ABC):
-    """One kind of decision.
-
-    A part is told events in order, reads and changes the shared state, and
-    returns commands for the transports and internal events for the other
-    parts. It keeps its timers itself and names the earliest one.
+class Part(BasePart, abc.ABC):
+    """One kind of decision on queries over key ranges.
 
     :param state: The node's shared state.
     """
 
     def __init__(self, *, state: NodeState) -> None:
         self.state = state
-
-    @property
-    @abc.abstractmethod
-    def handles(self) -> tuple[type, ...]:
-        """The kinds of event that the part wants to be told."""
-
-    @abc.abstractmethod
-    def step(self, event: Event, now: float) -> Iterable[Step]:
-        """Take one event.
-
-        :param event: The event.
-        :param now: Present time in seconds, Unix time.
-        :returns: Commands and internal events, in order.
-        """
-
-    def next_wake(self) -> float | None:
-        """Name the time at which ``TimePassed`` is due.
-
-        :returns: Time in seconds, or none if no timer is set.
-        """
-        return None
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on requests that are routed to replicas."""
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/exchange.py
@@ -0,0 +1,185 @@
+"""Takes requests in, and tells them how their attempts ended."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Any
+
+from bluebellbay.coordination.base_part import Step
+from bluebellbay.coordination.routing.context import RoutingContext
+from bluebellbay.coordination.routing.part import RoutingPart
+from bluebellbay.coordination.routing.plain import PlainRun
+from bluebellbay.coordination.routing.rules import RouterRules
+from bluebellbay.coordination.routing.run import RETRY_AFTER_S
+from bluebellbay.coordination.routing.run import Run
+from bluebellbay.coordination.routing.scatter import ScatterRun
+from bluebellbay.coordination.routing.split import ServiceDrawer
+from bluebellbay.protocol.event import Event
+from bluebellbay.protocol.event import TimePassed
+from bluebellbay.protocol.exchange import AnswerKind
+from bluebellbay.protocol.exchange import AttemptFailed
+from bluebellbay.protocol.exchange import AttemptRefused
+from bluebellbay.protocol.exchange import AttemptReplied
+from bluebellbay.protocol.exchange import ErrorAnswer
+from bluebellbay.protocol.exchange import ExchangeAbandoned
+from bluebellbay.protocol.exchange import ExchangeOpened
+from bluebellbay.protocol.exchange import RefusalKind
+from bluebellbay.protocol.route import Route
+
+
+class ExchangePart(RoutingPart):
+    """Runs requests from their arrival to their answer.
+
+    :param context: What the requests of this node share.
+    :param rules: What the node must keep to.
+    """
+
+    def __init__(self, *, context: RoutingContext, rules: RouterRules) -> None:
+        super().__init__(context=context, rules=rules)
+        self._runs: dict[int, Run] = {}
+        self._drawer = ServiceDrawer()
+        self._actions: dict[type, Callable[[Any, float], None]] = {
+            ExchangeOpened: self._open,
+            ExchangeAbandoned: self._abandon,
+            AttemptReplied: self._take_reply,
+            AttemptRefused: self._take_refusal,
+            AttemptFailed: self._take_failure,
+            TimePassed: self._pass_time,
+        }
+
+    @property
+    def handles(self) -> tuple[type, ...]:
+        """The kinds of event that the part wants to be told."""
+        return tuple(self._actions)
+
+    @property
+    def open_runs(self) -> int:
+        """Requests under way."""
+        self._forget_finished()
+        return len(self._runs)
+
+    def step(self, event: Event, now: float) -> Iterable[Step]:
+        """Take one event.
+
+        :param event: The event.
+        :param now: Present time in seconds.
+        :returns: Commands, in order.
+        """
+        self._actions[type(event)](event, now)
+        return self.context.drain()
+
+    def next_wake(self) -> float | None:
+        """Name the time at which ``TimePassed`` is due."""
+        return self.context.timers.next_time()
+
+    def _open(self, event: ExchangeOpened, now: float) -> None:
+        configuration = self.state.routes.configuration
+        if configuration is None:
+            self._refuse(event, AnswerKind.NOT_CONFIGURED)
+            return
+        request = event.request
+        route = self.state.routes.find(request.host, request.path)
+        if route is None:
+            self._refuse(event, AnswerKind.NO_ROUTE)
+            return
+        run = self._build_run(event, route, configuration.version, now)
+        self._runs[event.exchange] = run
+        run.start(now)
+        if run.finished:
+            del self._runs[event.exchange]
+
+    def _build_run(
+        self, event: ExchangeOpened, route: Route, version: int, now: float
+    ) -> Run:
+        if route.scatter is not None:
+            return ScatterRun(
+                context=self.context,
+                opened=event,
+                route=route,
+                rule=route.scatter,
+                version=version,
+                now=now,
+            )
+        return PlainRun(
+            context=self.context,
+            opened=event,
+            route=route,
+            version=version,
+            service=self._drawer.draw(route),
+            now=now,
+        )
+
+    def _refuse(self, event: ExchangeOpened, kind: AnswerKind) -> None:
+        self.context.emit(
+            ErrorAnswer(
+                exchange=event.exchange,
+                kind=kind,
+                ran=False,
+                retry_after_s=RETRY_AFTER_S,
+            )
+        )
+        self.context.log(
+            "Refused a request.",
+            event.request.request_id,
+            error=kind.value,
+            host=event.request.host,
+            path=event.request.path,
+            version=self.state.routes.version,
+        )
+
+    def _abandon(self, event: ExchangeAbandoned, now: float) -> None:
+        run = self._runs.pop(event.exchange, None)
+        if run is not None and not run.finished:
+            run.abandon(now)
+
+    def _take_reply(self, event: AttemptReplied, now: float) -> None:
+        attempt = self.context.end(event.attempt)
+        if attempt is None:
+            return
+        reply = event.reply
+        if reply.succeeded:
+            self.context.note_reply(attempt, now)
+        elif reply.status >= 500:
+            self.context.note_failure(attempt, f"status {reply.status}", now)
+        if attempt.wanted:
+            attempt.leg.take_reply(attempt, reply, now)
+
+    def _take_refusal(self, event: AttemptRefused, now: float) -> None:
+        attempt = self.context.end(event.attempt)
+        if attempt is None:
+            return
+        if event.kind is RefusalKind.OTHER_REPLICA:
+            self._drop_replica(attempt.record.incarnation, now)
+        if attempt.wanted:
+            attempt.leg.take_refusal(attempt, event.kind, now)
+
+    def _take_failure(self, event: AttemptFailed, now: float) -> None:
+        attempt = self.context.end(event.attempt)
+        if attempt is None or not attempt.wanted:
+            return
+        self.context.note_failure(attempt, event.reason, now)
+        attempt.leg.take_failure(attempt, sent=event.sent, now=now)
+
+    def _drop_replica(self, incarnation: tuple[str, int], now: float) -> None:
+        record = self.state.replicas.find(incarnation[0])
+        if record is None or record.incarnation != incarnation:
+            return
+        self.state.replicas.remove(incarnation[0])
+        self.context.log(
+            "Dropped a replica whose address another one has.",
+            replica=incarnation[0],
+            address=record.entry.address,
+            age_s=round(now - record.added_at, 1),
+        )
+
+    def _pass_time(self, event: TimePassed, now: float) -> None:
+        del event
+        for timed in self.context.timers.pop_due(now):
+            timed.wake(now)
+        self._forget_finished()
+
+    def _forget_finished(self) -> None:
+        finished = [
+            exchange for exchange, run in self._runs.items() if run.finished
+        ]
+        for exchange in finished:
+            del self._runs[exchange]
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/lifecycle.py
@@ -0,0 +1,117 @@
+"""Says when the node is ready, and ends it without cutting requests."""
+
+from collections.abc import Iterable
+
+from bluebellbay.coordination.base_part import Step
+from bluebellbay.coordination.routing.context import RoutingContext
+from bluebellbay.coordination.routing.exchange import ExchangePart
+from bluebellbay.coordination.routing.part import RoutingPart
+from bluebellbay.coordination.routing.rules import RouterRules
+from bluebellbay.protocol.command import ReportHealth
+from bluebellbay.protocol.command import StopProcess
+from bluebellbay.protocol.event import Event
+from bluebellbay.protocol.event import ShutdownRequested
+from bluebellbay.protocol.event import TimePassed
+from bluebellbay.protocol.exchange import ConfigurationFound
+from bluebellbay.protocol.exchange import ReplicaSeen
+from bluebellbay.protocol.exchange import ReplicasListed
+from bluebellbay.protocol.exchange import ReplicaUnlisted
+from bluebellbay.protocol.exchange import SetDraining
+
+# The balancer takes a node out after two health checks, a second apart.
+BALANCER_LAG_S = 3.0
+CHECK_S = 0.05
+# Left of the grace period to write the last answers.
+FLUSH_S = 0.4
+
+
+class LifecyclePart(RoutingPart):
+    """Reports readiness and ends the process.
+
+    :param context: What the requests of this node share.
+    :param rules: What the node must keep to.
+    :param exchanges: The part that runs requests.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: RoutingContext,
+        rules: RouterRules,
+        exchanges: ExchangePart,
+    ) -> None:
+        super().__init__(context=context, rules=rules)
+        self._exchanges = exchanges
+        self._ready = False
+        self._asked_at: float | None = None
+        self._check_at: float | None = None
+
+    @property
+    def handles(self) -> tuple[type, ...]:
+        """The kinds of event that the part wants to be told."""
+        return (
+            ConfigurationFound,
+            ReplicasListed,
+            ReplicaSeen,
+            ReplicaUnlisted,
+            ShutdownRequested,
+            TimePassed,
+        )
+
+    def step(self, event: Event, now: float) -> Iterable[Step]:
+        """Take one event.
+
+        :param event: The event.
+        :param now: Present time in seconds.
+        :returns: Commands, in order.
+        """
+        if isinstance(event, ShutdownRequested):
+            self._begin_shutdown(now)
+        self._report_ready()
+        if self._check_at is not None and now >= self._check_at:
+            self._check_end(now)
+        return self.context.drain()
+
+    def next_wake(self) -> float | None:
+        """Name the time at which ``TimePassed`` is due."""
+        return self._check_at
+
+    def _report_ready(self) -> None:
+        ready = (
+            not self.state.draining
+            and self.state.routes.configuration is not None
+            and len(self.state.replicas) > 0
+        )
+        if ready == self._ready:
+            return
+        self._ready = ready
+        self.context.emit(ReportHealth(healthy=ready))
+        self.context.log(
+            "Ready." if ready else "Not ready.",
+            version=self.state.routes.version,
+            replicas=len(self.state.replicas),
+            draining=self.state.draining,
+        )
+
+    def _begin_shutdown(self, now: float) -> None:
+        if self._asked_at is not None:
+            return
+        self._asked_at = now
+        self._check_at = now + BALANCER_LAG_S
+        self.state.draining = True
+        self.context.emit(SetDraining())
+        self.context.log(
+            "Shutting down.", open_requests=self._exchanges.open_runs
+        )
+
+    def _check_end(self, now: float) -> None:
+        if self._asked_at is None:
+            return
+        open_runs = self._exchanges.open_runs
+        latest_at = self._asked_at + self.rules.grace_s - FLUSH_S
+        if open_runs and now < latest_at:
+            self._check_at = now + CHECK_S
+            return
+        self._check_at = None
+        self.context.log("Stopping.", open_requests=open_runs)
+        self.context.emit(StopProcess())
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/objective.py
@@ -0,0 +1,50 @@
+"""When a caller is served best by what is in."""
+
+import enum
+import math
+
+# Time for an answer to be written and to reach the caller.
+WAY_HOME_S = 0.006
+
+
+class Verdict(enum.Enum):
+    """What to do with the shards that are in."""
+
+    ANSWER = "answer"
+    WAIT = "wait"
+    GIVE_UP = "give up"
+
+
+def count_least(shards: int, least_coverage: float) -> int:
+    """Count the shards without which there is no answer.
+
+    :param shards: Shards of the query.
+    :param least_coverage: Least fraction of them in an answer.
+    :returns: How many; at least one.
+    """
+    tolerance = 1e-9
+    return max(1, math.ceil(shards * least_coverage - tolerance))
+
+
+def judge(
+    *, shards: int, replied: int, open_: int, least: int, due: bool
+) -> Verdict:
+    """Decide on a query over shards.
+
+    A whole answer is best before the objective; after it, an answer is
+    worth little more with each shard, and less with each moment.
+
+    :param shards: Shards of the query.
+    :param replied: Shards that are in.
+    :param open_: Shards that may still come.
+    :param least: Shards without which there is no answer.
+    :param due: Whether the objective is reached.
+    :returns: The verdict.
+    """
+    if replied == shards:
+        return Verdict.ANSWER
+    if replied + open_ < least:
+        return Verdict.GIVE_UP
+    if replied >= least and (due or not open_):
+        return Verdict.ANSWER
+    return Verdict.WAIT
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/registry.py
@@ -0,0 +1,268 @@
+"""Keeps the table of replicas in step with the store."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import math
+from typing import Any
+
+from bluebellbay.coordination.base_part import Step
+from bluebellbay.coordination.routing.context import RoutingContext
+from bluebellbay.coordination.routing.part import RoutingPart
+from bluebellbay.coordination.routing.rules import RouterRules
+from bluebellbay.protocol.event import Event
+from bluebellbay.protocol.event import TimePassed
+from bluebellbay.protocol.exchange import ConfigurationFound
+from bluebellbay.protocol.exchange import ForgetReplica
+from bluebellbay.protocol.exchange import NodeSeen
+from bluebellbay.protocol.exchange import NodesListed
+from bluebellbay.protocol.exchange import NodeUnlisted
+from bluebellbay.protocol.exchange import ReplicaSeen
+from bluebellbay.protocol.exchange import ReplicasListed
+from bluebellbay.protocol.exchange import ReplicaUnlisted
+from bluebellbay.protocol.exchange import SetCallerLimits
+from bluebellbay.protocol.exchange import SetConnectionLimit
+from bluebellbay.protocol.exchange import StoreLost
+from bluebellbay.protocol.exchange import StoreRegained
+from bluebellbay.protocol.replica import ReplicaEntry
+from bluebellbay.state.replica import ReplicaRecord
+
+# Entries that lapsed during an outage are written again within two seconds.
+REWRITE_S = 2.2
+MOST_CONNECTIONS = 8
+# A node whose lease has ended may still be cut off and at work.
+NODE_LINGER_S = 60.0
+
+
+class RegistryPart(RoutingPart):
+    """Takes what the store holds: configuration, replicas and nodes.
+
+    :param context: What the requests of this node share.
+    :param rules: What the node must keep to.
+    """
+
+    def __init__(self, *, context: RoutingContext, rules: RouterRules) -> None:
+        super().__init__(context=context, rules=rules)
+        self._store_lost = False
+        self._regained_at = -math.inf
+        self._unlisted: dict[str, None] = {}
+        self._nodes: dict[str, float | None] = {}
+        self._actions: dict[type, Callable[[Any, float], None]] = {
+            ConfigurationFound: self._take_configuration,
+            ReplicasListed: self._take_list,
+            ReplicaSeen: self._take_entry,
+            ReplicaUnlisted: self._take_removal,
+            NodesListed: self._take_nodes,
+            NodeSeen: self._take_node,
+            NodeUnlisted: self._take_node_removal,
+            StoreLost: self._lose_store,
+            StoreRegained: self._regain_store,
+            TimePassed: self._pass_time,
+        }
+
+    @property
+    def handles(self) -> tuple[type, ...]:
+        """The kinds of event that the part wants to be told."""
+        return tuple(self._actions)
+
+    def step(self, event: Event, now: float) -> Iterable[Step]:
+        """Take one event.
+
+        :param event: The event.
+        :param now: Present time in seconds.
+        :returns: Commands, in order.
+        """
+        self._actions[type(event)](event, now)
+        return self.context.drain()
+
+    def next_wake(self) -> float | None:
+        """Name the time at which ``TimePassed`` is due."""
+        if self._store_lost:
+            return None
+        return min(
+            (self._find_end(name) for name in self._unlisted), default=None
+        )
+
+    def _take_configuration(
+        self, event: ConfigurationFound, now: float
+    ) -> None:
+        del now
+        former = self.state.routes.version
+        configuration = event.configuration
+        if not self.state.routes.accept(configuration):
+            if configuration.version < former:
+                self.context.log(
+                    "Kept the configuration, as the store's is older.",
+                    version=former,
+                    older=configuration.version,
+                )
+            return
+        self.context.log(
+            "Put a configuration in force.",
+            version=configuration.version,
+            former=former,
+            routes=len(configuration.routes),
+        )
+        self.context.emit(SetCallerLimits(limits=configuration.limits))
+        self._set_connection_limits()
+
+    def _take_list(self, event: ReplicasListed, now: float) -> None:
+        listed = {entry.replica_id for entry in event.entries}
+        for entry in event.entries:
+            self._take(entry, now)
+        for record in self.state.replicas:
+            if record.entry.replica_id not in listed:
+                self._unlist(record, now)
+
+    def _take_entry(self, event: ReplicaSeen, now: float) -> None:
+        self._take(event.entry, now)
+
+    def _take_removal(self, event: ReplicaUnlisted, now: float) -> None:
+        record = self.state.replicas.find(event.replica_id)
+        if record is not None:
+            self._unlist(record, now)
+
+    def _take(self, entry: ReplicaEntry, now: float) -> None:
+        record = self.state.replicas.find(entry.replica_id)
+        if record is None:
+            self._add(entry, now)
+            return
+        former = record.entry
+        if entry.started_ms < former.started_ms:
+            self._log_entry("Ignored an entry of an earlier start.", entry)
+            return
+        if _is_other(entry, former):
+            self.context.emit(ForgetReplica(replica=former))
+            self._add(entry, now)
+            return
+        if entry.sequence < former.sequence:
+            self._log_entry("Ignored an entry that is older.", entry)
+            return
+        record.entry = entry
+        record.unlisted_at = None
+        self._unlisted.pop(entry.replica_id, None)
+        if entry.draining and not former.draining:
+            self._log_entry("A replica drains.", entry)
+            self.context.emit(ForgetReplica(replica=entry))
+
+    def _add(self, entry: ReplicaEntry, now: float) -> None:
+        self._unlisted.pop(entry.replica_id, None)
+        record = ReplicaRecord(entry=entry, added_at=now)
+        self.state.replicas.add(record)
+        self._log_entry("Added a replica.", entry)
+        self._set_connection_limit(record)
+
+    def _unlist(self, record: ReplicaRecord, now: float) -> None:
+        if record.unlisted_at is not None:
+            return
+        if record.entry.draining:
+            self._remove(record)
+            return
+        record.unlisted_at = now
+        self._unlisted[record.entry.replica_id] = None
+        self._log_entry("A replica's entry is gone.", record.entry)
+
+    def _find_end(self, replica_id: str) -> float:
+        record = self.state.replicas.find(replica_id)
+        if record is None or record.unlisted_at is None:
+            return -math.inf
+        return max(record.unlisted_at, self._regained_at) + REWRITE_S
+
+    def _remove(self, record: ReplicaRecord) -> None:
+        self._unlisted.pop(record.entry.replica_id, None)
+        self.state.replicas.remove(record.entry.replica_id)
+        self._log_entry("Removed a replica.", record.entry)
+        self.context.emit(ForgetReplica(replica=record.entry))
+
+    def _take_nodes(self, event: NodesListed, now: float) -> None:
+        for name in self._nodes:
+            if name not in event.names and self._nodes[name] is None:
+                self._nodes[name] = now
+        self._nodes.update(dict.fromkeys(event.names))
+        self._count_nodes(now)
+
+    def _take_node(self, event: NodeSeen, now: float) -> None:
+        self._nodes[event.name] = None
+        self._count_nodes(now)
+
+    def _take_node_removal(self, event: NodeUnlisted, now: float) -> None:
+        if self._nodes.get(event.name, now) is None:
+            self._nodes[event.name] = now
+        self._count_nodes(now)
+
+    def _count_nodes(self, now: float) -> None:
+        self._nodes = {
+            name: gone_at
+            for name, gone_at in self._nodes.items()
+            if gone_at is None or now < gone_at + NODE_LINGER_S
+        }
+        count = len({*self._nodes, self.rules.node})
+        if count == self.state.nodes:
+            return
+        self.context.log(
+            "Counted the nodes.", nodes=count, former=self.state.nodes
+        )
+        self.state.nodes = count
+        self._set_connection_limits()
+
+    def _lose_store(self, event: StoreLost, now: float) -> None:
+        del now
+        if not self._store_lost:
+            self.context.log("Lost the store.", reason=event.reason)
+        self._store_lost = True
+
+    def _regain_store(self, event: StoreRegained, now: float) -> None:
+        del event
+        if not self._store_lost:
+            return
+        self._store_lost = False
+        self._regained_at = now
+        self.context.log(
+            "Regained the store.",
+            version=self.state.routes.version,
+            replicas=len(self.state.replicas),
+        )
+
+    def _pass_time(self, event: object, now: float) -> None:
+        del event
+        if self._store_lost:
+            return
+        for replica_id in tuple(self._unlisted):
+            if now < self._find_end(replica_id):
+                continue
+            record = self.state.replicas.find(replica_id)
+            if record is None:
+                del self._unlisted[replica_id]
+                continue
+            self._remove(record)
+
+    def _set_connection_limits(self) -> None:
+        for record in self.state.replicas:
+            self._set_connection_limit(record)
+
+    def _set_connection_limit(self, record: ReplicaRecord) -> None:
+        entry = record.entry
+        accepted = self.state.routes.count_connections(entry.service)
+        share = max(1, accepted // max(1, self.state.nodes))
+        most = max(MOST_CONNECTIONS, 2 * entry.slots)
+        self.context.emit(
+            SetConnectionLimit(replica=entry, limit=min(share, most))
+        )
+
+    def _log_entry(self, sentence: str, entry: ReplicaEntry) -> None:
+        self.context.log(
+            sentence,
+            replica=entry.replica_id,
+            service=entry.service,
+            address=entry.address,
+            started_ms=entry.started_ms,
+            sequence=entry.sequence,
+            draining=entry.draining,
+        )
+
+
+def _is_other(entry: ReplicaEntry, former: ReplicaEntry) -> bool:
+    return (
+        entry.started_ms != former.started_ms
+        or entry.address != former.address
+        or entry.service != former.service
+    )
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/selection.py
@@ -0,0 +1,102 @@
+"""Chooses the replica that a request goes to."""
+
+from collections.abc import Container
+import math
+
+from bluebellbay.state.latency import LatencyWindow
+from bluebellbay.state.replica import ReplicaRecord
+from bluebellbay.state.router import RouterState
+
+# What a request between failure domains may gain to be worth its bytes.
+CROSS_DOMAIN_S = 0.030
+OVERDUE_S = 0.100
+LAST_RESORT_S = 10.0
+WARMUP_FACTOR = 1.6
+UNKNOWN_LATENCY_S = 0.010
+# An estimate loses its weight while nothing is sent there.
+ESTIMATE_LIFE_S = 3.0
+JITTER = 0.1
+
+
+class ReplicaSelector:
+    """Compares replicas by the time that they would take.
+
+    :param state: What the node knows.
+    """
+
+    def __init__(self, *, state: RouterState) -> None:
+        self._state = state
+        self._pooled: dict[str, LatencyWindow] = {}
+
+    def find_pooled(self, route: str) -> LatencyWindow:
+        """Give the latencies of a route over all replicas.
+
+        :param route: Name of the route.
+        :returns: The window, empty at first.
+        """
+        found = self._pooled.get(route)
+        if found is None:
+            found = self._pooled[route] = LatencyWindow()
+        return found
+
+    def count_usable(self, service: str) -> int:
+        """Count the replicas that may get requests.
+
+        :param service: Name of the service.
+        :returns: How many don't drain.
+        """
+        return sum(
+            not record.entry.draining
+            for record in self._state.replicas.list_service(service)
+        )
+
+    def choose(
+        self, service: str, route: str, tried: Container[str], now: float
+    ) -> ReplicaRecord | None:
+        """Choose a replica.
+
+        :param service: Name of the service.
+        :param route: Name of the route.
+        :param tried: Identities that must not be chosen.
+        :param now: Present time in seconds.
+        :returns: The replica, or none if no candidate is left.
+        """
+        best = None
+        best_s = math.inf
+        for record in self._state.replicas.list_service(service):
+            if record.entry.draining or record.entry.replica_id in tried:
+                continue
+            cost_s = self._estimate(record, route, now)
+            if cost_s < best_s:
+                best = record
+                best_s = cost_s
+        return best
+
+    def _estimate(
+        self, record: ReplicaRecord, route: str, now: float
+    ) -> float:
+        entry = record.entry
+        time_s = self._find_latency(record, route, now)
+        time_s *= 1 + JITTER * self._state.rng.random()
+        waiting = len(record.in_flight) + 1 - entry.slots
+        if waiting > 0:
+            time_s *= 1 + waiting / entry.slots
+        if entry.failure_domain != self._state.failure_domain:
+            time_s += CROSS_DOMAIN_S
+        if record.is_overdue(now):
+            time_s += OVERDUE_S
+        if record.ejected_until > now or record.unlisted_at is not None:
+            time_s += LAST_RESORT_S
+        return time_s
+
+    def _find_latency(
+        self, record: ReplicaRecord, route: str, now: float
+    ) -> float:
+        usual_s = self.find_pooled(route).estimate_s or UNKNOWN_LATENCY_S
+        window = record.latencies.get(route)
+        if window is None or not window.count:
+            warming = now < record.added_at + record.entry.warmup_s
+            return usual_s * (WARMUP_FACTOR if warming else 1.0)
+        idle_s = now - window.probed_at
+        weight = math.exp(-idle_s / ESTIMATE_LIFE_S)
+        return usual_s + weight * (window.estimate_s - usual_s)
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/split.py
@@ -0,0 +1,31 @@
+"""Draws one of the services that share a route."""
+
+from bluebellbay.protocol.route import Route
+
+
+class ServiceDrawer:
+    """Gives each service its exact share, evenly spread over time.
+
+    Each draw raises every service's credit by its weight; the one with the
+    most credit is drawn and pays the sum of the weights.
+    """
+
+    def __init__(self) -> None:
+        self._credits: dict[tuple[str, tuple[str, ...]], list[float]] = {}
+
+    def draw(self, route: Route) -> str:
+        """Draw a service.
+
+        :param route: The route; it has at least one service.
+        :returns: Name of the service.
+        """
+        shares = route.services
+        if len(shares) == 1:
+            return shares[0].service
+        key = (route.name, tuple(share.service for share in shares))
+        standing = self._credits.setdefault(key, [0.0] * len(shares))
+        for place, share in enumerate(shares):
+            standing[place] += share.weight
+        chosen = max(range(len(shares)), key=standing.__getitem__)
+        standing[chosen] -= sum(share.weight for share in shares)
+        return shares[chosen].service
--- a/packages/bluebellbay/bluebellbay/coordination/search.py
+++ b/packages/bluebellbay/bluebellbay/coordination/search.py
@@ -1,12 +1,12 @@
 """A repeatable request: many legs, one snapshot, one answer."""
 
 from bluebellbay.coordination.dispatch import Dispatcher
-from bluebellbay.coordination.hedge import find_patience
 from bluebellbay.coordination.leg import Leg
 from bluebellbay.coordination.leg import Run
 from bluebellbay.coordination.leg import Task
 from bluebellbay.coordination.merge import Merger
 from bluebellbay.coordination.poll import LEAST_GAP_S
+from bluebellbay.coordination.scarcity import find_patience
 from bluebellbay.coordination.snapshot import Plan
 from bluebellbay.protocol.answer import Answer
 from bluebellbay.protocol.command import Field
--- a/packages/bluebellbay/bluebellbay/protocol/command.py
+++ b/packages/bluebellbay/bluebellbay/protocol/command.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from bluebellbay.protocol.answer import Answer
+from bluebellbay.protocol.exchange import RoutingCommand
 from bluebellbay.protocol.leg import LegRequest
 from bluebellbay.protocol.peer import PeerMessage
 
@@ -205,4 +206,5 @@
     | ReportHealth
     | StopProcess
     | LogDecision
+    | RoutingCommand
 )
--- a/packages/bluebellbay/bluebellbay/protocol/event.py
+++ b/packages/bluebellbay/bluebellbay/protocol/event.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from bluebellbay.protocol.answer import Answer
+from bluebellbay.protocol.exchange import RoutingEvent
 from bluebellbay.protocol.leg import LegRefusal
 from bluebellbay.protocol.leg import LegReply
 from bluebellbay.protocol.leg import ServerReport
@@ -386,5 +387,6 @@
     | PeerDropped
     | ShutdownRequested
     | TimePassed
+    | RoutingEvent
     | InternalEvent
 )
--- a/packages/bluebellbay/bluebellbay/transport/connection.py
+++ b/packages/bluebellbay/bluebellbay/transport/connection.py
@@ -2,13 +2,24 @@
 
 from collections.abc import Callable
 import dataclasses
+import socket
 from typing import Any
 
 import httptools
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
 MAX_BODY_BYTES = 16_777_216
+INFORMATIONAL = 200
+NO_CONTENT = 204
+NOT_MODIFIED = 304
+KEEPALIVE_S = 1
+KEEPALIVE_PROBES = 2
+# Written bytes that are not acknowledged for so long end the connection.
+UNACKNOWLEDGED_MS = 2_500
+
+Header = tuple[bytes, bytes]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -16,11 +27,13 @@
     """A call was answered with a whole body.
 
     :param status: HTTP status.
+    :param headers: Names in lower case, and values, in order.
     :param body: The body.
     """
 
     status: int
     body: bytes
+    headers: tuple[Header, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -38,14 +51,31 @@
 
 
 CallEnd = CallAnswered | CallFailed
+AnswerTest = Callable[[tuple[Header, ...]], bool]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AnswerForm:
+    """Which answers a call takes.
+
+    :param bodiless: Whether the method has answers without a body.
+    :param until_close: Whether a body may end with its connection. It is
+        whole only if the server has closed in order.
+    :param belongs: Says by its headers whether an answer is to this call;
+        one that is not is read and dropped.
+    """
+
+    bodiless: bool = False
+    until_close: bool = False
+    belongs: AnswerTest | None = None
+
+
+STATED_LENGTH = AnswerForm()
 
 
 class Connection(Protocol):
     """Writes a request and reads its answer, one after the other.
 
-    An answer is whole only if its length is stated and has arrived: a body
-    that ends with the connection can't be told from one that is cut short.
-
     :param free: Told when the connection can run another call.
     :param lost: Told when the connection is closed.
     """
@@ -58,28 +88,79 @@
         free: Callable[["Connection"], None],
         lost: Callable[["Connection"], None],
     ) -> None:
+        self.idle_since = 0.0
+        self.idle_limit_s: float | None = None
         self._free = free
         self._lost = lost
         self._parser = httptools.HttpResponseParser(self)
         self._report: Callable[[CallEnd], None] | None = None
+        self._form = STATED_LENGTH
+        self._headers: list[Header] = []
         self._chunks: list[bytes] = []
         self._size = 0
-        self._whole = False
+        self._in_body = False
+        self._foreign = False
+        self._whole: CallAnswered | None = None
         self._keep_alive = False
+        self._surplus = False
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Let the kernel find out about a peer that went silent."""
+        self.transport.setTcpNoDelay(True)
+        self.transport.setTcpKeepAlive(True)
+        handle = self.transport.getHandle()
+        for option, value in (
+            (socket.TCP_KEEPIDLE, KEEPALIVE_S),
+            (socket.TCP_KEEPINTVL, KEEPALIVE_S),
+            (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+            (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+        ):
+            handle.setsockopt(socket.IPPROTO_TCP, option, value)
 
     def run_call(
-        self, request: bytes, report: Callable[[CallEnd], None]
+        self,
+        request: bytes,
+        report: Callable[[CallEnd], None],
+        form: AnswerForm = STATED_LENGTH,
     ) -> None:
         """Write a request.
 
         :param request: The whole request, head and body.
         :param report: Told once how the call ended.
+        :param form: Which answers it takes.
         """
         self._report = report
-        self._chunks.clear()
+        self._form = form
         self._size = 0
         self.transport.write(request)
 
+    def on_message_begin(self) -> None:
+        """Begin an answer; called by the parser."""
+        if self._whole is not None:
+            self._surplus = True
+        self._headers = []
+        self._chunks = []
+        self._size = 0
+        self._in_body = False
+        self._foreign = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header; called by the parser.
+
+        :param name: Its name.
+        :param value: Its value.
+        """
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """See whom the answer is for; called by the parser."""
+        self._in_body = True
+        belongs = self._form.belongs
+        if belongs is not None and not belongs(tuple(self._headers)):
+            self._foreign = True
+        if self._form.bodiless:
+            self._complete(keep_alive=False)
+
     def on_body(self, body: bytes) -> None:
         """Keep a piece of the body; called by the parser.
 
@@ -91,8 +172,7 @@
 
     def on_message_complete(self) -> None:
         """Note that the answer is whole; called by the parser."""
-        self._whole = True
-        self._keep_alive = self._parser.should_keep_alive()
+        self._complete(keep_alive=self._parser.should_keep_alive())
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse what arrived.
@@ -104,32 +184,58 @@
             return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
-            self._fail("answer not HTTP")
-            return
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._surplus = True
+            if self._whole is None:
+                self._fail("answer not HTTP")
+                return
         if self._size > MAX_BODY_BYTES:
             self._fail("answer too large")
-        elif self._whole:
-            self._whole = False
+        elif self._whole is not None:
             self._finish()
 
     def connectionLost(  # noqa: N802
         self, reason: Failure | None = None
     ) -> None:
-        """Fail the call under way, and tell that the connection is closed.
+        """End the call under way, and tell that the connection is closed.
 
         :param reason: Why it closed.
         """
-        del reason
         self._lost(self)
+        in_order = reason is not None and reason.check(ConnectionDone)
+        if in_order and self._ends_with_connection():
+            self._end(self._build_answer())
+            return
         self._end(CallFailed(sent=True, reason="answer cut short"))
 
-    def _finish(self) -> None:
-        answer = CallAnswered(
+    def _ends_with_connection(self) -> bool:
+        if not self._form.until_close or not self._in_body or self._foreign:
+            return False
+        names = {name for name, _ in self._headers}
+        return not names & {b"content-length", b"transfer-encoding"}
+
+    def _complete(self, *, keep_alive: bool) -> None:
+        self._in_body = False
+        if self._parser.get_status_code() < INFORMATIONAL:
+            return
+        if self._foreign or self._whole is not None:
+            self._surplus = True
+            return
+        self._keep_alive = keep_alive
+        self._whole = self._build_answer()
+
+    def _build_answer(self) -> CallAnswered:
+        return CallAnswered(
             status=self._parser.get_status_code(),
+            headers=tuple(self._headers),
             body=b"".join(self._chunks),
         )
-        if self._keep_alive:
+
+    def _finish(self) -> None:
+        answer, self._whole = self._whole, None
+        assert answer is not None  # noqa: S101
+        if self._keep_alive and not self._surplus:
+            self.idle_limit_s = _find_idle_limit(answer.headers)
             self._free(self)
         else:
             self.transport.loseConnection()
@@ -143,3 +249,14 @@
         report, self._report = self._report, None
         if report is not None:
             report(end)
+
+
+def _find_idle_limit(headers: tuple[Header, ...]) -> float | None:
+    for name, value in headers:
+        if name != b"keep-alive":
+            continue
+        for item in value.split(b","):
+            key, _, seconds = item.strip().partition(b"=")
+            if key.lower() == b"timeout" and seconds.strip().isdigit():
+                return float(seconds)
+    return None
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/transport/entry.py
@@ -0,0 +1,407 @@
+"""Callers' connections: strict HTTP/1.1, one request at a time."""
+
+from collections.abc import Callable
+import dataclasses
+import itertools
+from typing import Any
+
+import httptools
+from twisted.internet.protocol import Protocol
+from twisted.internet.protocol import ServerFactory
+from twisted.internet.task import LoopingCall
+from twisted.python.failure import Failure
+
+from bluebellbay.protocol.exchange import ExchangeAbandoned
+from bluebellbay.protocol.exchange import ExchangeAnswer
+from bluebellbay.protocol.exchange import ExchangeOpened
+from bluebellbay.protocol.route import CallerLimits
+from bluebellbay.transport._address import parse_address
+from bluebellbay.transport.connection import Header
+from bluebellbay.transport.interface import Report
+from bluebellbay.transport.wire import MalformedRequest
+from bluebellbay.transport.wire import RequestHead
+from bluebellbay.transport.wire import RoutingWire
+
+SWEEP_S = 0.5
+# Requests sent ahead on one connection; more of them end it.
+MOST_WAITING = 8
+BACKLOG = 512
+BODY_TIMEOUT_S = 10.0
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+BAD_REQUEST = 400
+BODY_TOO_LARGE = 413
+HEAD_TOO_LARGE = 431
+TIMED_OUT = 408
+
+
+class _Rejected(Exception):
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Whole:
+    head: RequestHead
+    body: bytes
+    keep_alive: bool
+    age_s: float
+
+
+class CallerConnection(Protocol):
+    """Reads requests, and writes each answer before it takes the next.
+
+    :param entry: The listener that it belongs to.
+    """
+
+    transport: Any
+
+    def __init__(self, *, entry: "EntryListener") -> None:
+        self._entry = entry
+        self._parser = httptools.HttpRequestParser(self)
+        self._waiting: list[_Whole] = []
+        self._exchange: int | None = None
+        self._keep_alive = True
+        self._closing = False
+        self._served = 0
+        self._accepted_at = entry.now()
+        self._active_at = self._accepted_at
+        self._begun_at: float | None = None
+        self._reset_request()
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request is being read or run."""
+        return self._exchange is None and self._begun_at is None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Join the listener's connections."""
+        self.transport.setTcpNoDelay(True)
+        self.transport.setTcpKeepAlive(True)
+        self._entry.connections.add(self)
+
+    def connectionLost(  # noqa: N802
+        self, reason: Failure | None = None
+    ) -> None:
+        """Abandon the request under way.
+
+        :param reason: Why it closed.
+        """
+        del reason
+        self._closing = True
+        self._entry.connections.discard(self)
+        exchange, self._exchange = self._exchange, None
+        if exchange is not None:
+            self._entry.abandon(exchange)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Parse what arrived.
+
+        :param data: The bytes.
+        """
+        if self._closing:
+            return
+        self._active_at = self._entry.now()
+        if self._begun_at is None:
+            self._begun_at = self._active_at
+        if not self._in_body:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+            if (
+                not self._in_body
+                and self._head_bytes > self._limits.header_bytes
+            ):
+                raise _Rejected(HEAD_TOO_LARGE)
+        except _Rejected as rejected:
+            self._reject(rejected.status)
+            return
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
+            cause = error.__context__
+            status = cause.status if isinstance(cause, _Rejected) else None
+            self._reject(status or BAD_REQUEST)
+            return
+        if len(self._waiting) > MOST_WAITING:
+            self._reject(BAD_REQUEST)
+            return
+        self._serve_next()
+
+    def on_message_begin(self) -> None:
+        """Begin a request; called by the parser."""
+        self._reset_request()
+        if self._begun_at is None:
+            self._begun_at = self._entry.now()
+
+    def on_url(self, url: bytes) -> None:
+        """Keep a piece of the target; called by the parser.
+
+        :param url: The piece.
+        """
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header; called by the parser.
+
+        :param name: Its name.
+        :param value: Its value.
+        """
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Check the head; called by the parser."""
+        self._check_head()
+        self._in_body = True
+        self._head_bytes = 0
+        if (b"expect", b"100-continue") in self._headers:
+            self.transport.write(CONTINUE)
+
+    def on_body(self, body: bytes) -> None:
+        """Keep a piece of the body; called by the parser.
+
+        :param body: The piece.
+        """
+        self._body_bytes += len(body)
+        if self._body_bytes > self._limits.body_bytes:
+            raise _Rejected(BODY_TOO_LARGE)
+        self._chunks.append(body)
+
+    def on_message_complete(self) -> None:
+        """Queue the whole request; called by the parser."""
+        now = self._entry.now()
+        begun_at = self._begun_at if self._begun_at is not None else now
+        if not self._served and not self._waiting:
+            begun_at = self._accepted_at
+        self._waiting.append(
+            _Whole(
+                head=RequestHead(
+                    method=self._parser.get_method(),
+                    target=bytes(self._target),
+                    headers=tuple(self._headers),
+                ),
+                body=b"".join(self._chunks),
+                keep_alive=self._parser.should_keep_alive(),
+                age_s=now - begun_at,
+            )
+        )
+        self._begun_at = None
+        self._in_body = False
+        self._head_bytes = 0
+
+    def answer(self, answer: ExchangeAnswer) -> None:
+        """Write the answer of the request under way.
+
+        :param answer: The answer.
+        """
+        self._exchange = None
+        self._served += 1
+        self._active_at = self._entry.now()
+        close = not self._keep_alive or self._entry.draining
+        self._write(self._entry.wire.write_answer(answer, close=close))
+        if close:
+            self._close()
+            return
+        self._serve_next()
+
+    def check_time(self, now: float) -> None:
+        """Close the connection if its caller takes too long.
+
+        :param now: Present time in seconds.
+        """
+        if self._exchange is not None or self._closing:
+            return
+        if self._begun_at is None:
+            if now - self._active_at > self._limits.idle_timeout_s:
+                self._close()
+            return
+        limit_s = self._limits.header_timeout_s
+        if self._in_body:
+            limit_s = BODY_TIMEOUT_S
+        if now - self._begun_at > limit_s:
+            self._reject(TIMED_OUT)
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is read or run."""
+        if self.idle:
+            self._close()
+
+    @property
+    def _limits(self) -> CallerLimits:
+        return self._entry.limits
+
+    def _reset_request(self) -> None:
+        self._target = bytearray()
+        self._headers: list[Header] = []
+        self._chunks: list[bytes] = []
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._in_body = False
+
+    def _check_head(self) -> None:
+        names = [name for name, _ in self._headers]
+        size = sum(len(name) + len(value) + 4 for name, value in self._headers)
+        if size + len(self._target) > self._limits.header_bytes:
+            raise _Rejected(HEAD_TOO_LARGE)
+        framed_twice = b"transfer-encoding" in names and (
+            b"content-length" in names
+        )
+        if (
+            names.count(b"host") != 1
+            or framed_twice
+            or names.count(b"content-length") > 1
+            or not self._target.startswith(b"/")
+        ):
+            raise _Rejected(BAD_REQUEST)
+        for name, value in self._headers:
+            if name == b"content-length" and (
+                not value.isdigit() or int(value) > self._limits.body_bytes
+            ):
+                raise _Rejected(
+                    BODY_TOO_LARGE if value.isdigit() else BAD_REQUEST
+                )
+
+    def _serve_next(self) -> None:
+        if self._exchange is not None or self._closing or not self._waiting:
+            return
+        whole = self._waiting.pop(0)
+        self._keep_alive = whole.keep_alive
+        try:
+            request = self._entry.wire.read_request(whole.head, whole.body)
+        except MalformedRequest:
+            self._reject(BAD_REQUEST)
+            return
+        self._exchange = self._entry.open(self)
+        self._entry.report(
+            ExchangeOpened(
+                exchange=self._exchange, request=request, age_s=whole.age_s
+            )
+        )
+
+    def _reject(self, status: int) -> None:
+        self._waiting.clear()
+        if self._exchange is not None:
+            exchange, self._exchange = self._exchange, None
+            self._entry.abandon(exchange)
+        self._entry.note_rejected(status)
+        self._write(self._entry.wire.write_refusal(status))
+        self._close()
+
+    def _write(self, data: bytes) -> None:
+        self.transport.write(data)
+
+    def _close(self) -> None:
+        self._closing = True
+        self.transport.loseConnection()
+
+
+class _Factory(ServerFactory):
+    noisy = False
+
+    def __init__(self, *, entry: "EntryListener") -> None:
+        self._entry = entry
+
+    def buildProtocol(self, addr: Any) -> CallerConnection:  # noqa: N802
+        del addr
+        return CallerConnection(entry=self._entry)
+
+
+class EntryListener:
+    """Listens for callers.
+
+    :param reactor: The reactor.
+    :param listen: ``host:port`` to listen on.
+    :param wire: How requests and answers are written.
+    :param report: Told each event.
+    :param note_rejected: Told the status of each request that can't be read.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        listen: str,
+        wire: RoutingWire,
+        report: Report,
+        note_rejected: Callable[[int], None],
+    ) -> None:
+        self.connections: set[CallerConnection] = set()
+        self.limits = CallerLimits()
+        self.wire = wire
+        self.report = report
+        self.note_rejected = note_rejected
+        self.draining = False
+        self._reactor = reactor
+        self._listen = listen
+        self._port: Any = None
+        self._numbers = itertools.count(1)
+        self._open: dict[int, CallerConnection] = {}
+        self._sweeper = LoopingCall(self._sweep)
+        self._sweeper.clock = reactor
+
+    @property
+    def port(self) -> int:
+        """TCP port that is listened on."""
+        return int(self._port.getHost().port)
+
+    def now(self) -> float:
+        """Give the present time in seconds."""
+        return float(self._reactor.seconds())
+
+    def start(self) -> None:
+        """Listen."""
+        address = parse_address(self._listen)
+        self._port = self._reactor.listenTCP(
+            address.port,
+            _Factory(entry=self),
+            backlog=BACKLOG,
+            interface=address.host,
+        )
+        self._sweeper.start(SWEEP_S, now=False)
+
+    def open(self, connection: CallerConnection) -> int:
+        """Number the exchange that a connection begins.
+
+        :param connection: The connection.
+        :returns: The number.
+        """
+        exchange = next(self._numbers)
+        self._open[exchange] = connection
+        return exchange
+
+    def abandon(self, exchange: int) -> None:
+        """Report that a caller has left.
+
+        :param exchange: Number of the exchange.
+        """
+        if self._open.pop(exchange, None) is not None:
+            self.report(ExchangeAbandoned(exchange=exchange))
+
+    def answer(self, answer: ExchangeAnswer) -> None:
+        """Answer an exchange, if its caller is still there.
+
+        :param answer: The answer.
+        """
+        connection = self._open.pop(answer.exchange, None)
+        if connection is not None:
+            connection.answer(answer)
+
+    def drain(self) -> None:
+        """Close each connection after its next answer."""
+        self.draining = True
+
+    def stop(self) -> None:
+        """Stop listening and close idle connections."""
+        if self._sweeper.running:
+            self._sweeper.stop()
+        if self._port is not None:
+            self._port.stopListening()
+        for connection in tuple(self.connections):
+            connection.close_if_idle()
+
+    def _sweep(self) -> None:
+        now = self.now()
+        for connection in tuple(self.connections):
+            connection.check_time(now)
--- a/packages/bluebellbay/bluebellbay/transport/pool.py
+++ b/packages/bluebellbay/bluebellbay/transport/pool.py
@@ -13,11 +13,15 @@
 from twisted.python.failure import Failure
 
 from bluebellbay.transport._address import build_endpoint
+from bluebellbay.transport.connection import AnswerForm
 from bluebellbay.transport.connection import CallEnd
 from bluebellbay.transport.connection import CallFailed
 from bluebellbay.transport.connection import Connection
+from bluebellbay.transport.connection import STATED_LENGTH
 
 CONNECT_TIMEOUT_S = 1.0
+# The server may close an idle connection a little before the time it states.
+IDLE_MARGIN_S = 0.5
 
 
 @dataclasses.dataclass(eq=False, slots=True, kw_only=True)
@@ -30,14 +34,22 @@
     :param report: Told once how the call ended.
     :param build_body: Builds the body right before it is written.
     :param expires_at: Unix time in seconds after which it is not written.
+    :param build_request: Builds the whole request right before it is
+        written, in place of method, path and body.
+    :param form: Which answers it takes.
+    :param most_idle_s: It is not written on a connection that was idle for
+        more seconds.
     """
 
-    method: bytes
-    path: bytes
     timeout_s: float
     report: Callable[[CallEnd], None]
+    method: bytes = b""
+    path: bytes = b""
     build_body: Callable[[], bytes] | None = None
     expires_at: float | None = None
+    build_request: Callable[[], bytes] | None = None
+    form: AnswerForm = STATED_LENGTH
+    most_idle_s: float | None = None
     timer: DelayedCall | None = None
     connection: Connection | None = None
     ended: bool = False
@@ -128,6 +140,15 @@
         self._end(call, CallFailed(sent=False, reason="cancelled"))
         return True
 
+    def abort(self, call: PooledCall) -> None:
+        """Stop a call; where it has been written its connection is closed.
+
+        :param call: The call; its end is reported.
+        """
+        if self.withdraw(call) or call.connection is None:
+            return
+        call.connection.transport.abortConnection()
+
     def stop(self) -> Deferred[None]:
         """Fail what waits, and close all connections.
 
@@ -150,6 +171,7 @@
         :param connection: The connection.
         """
         # The present call ends next, which then runs those that wait.
+        connection.idle_since = self._reactor.seconds()
         self._idle.append(connection)
         self._close_surplus()
 
@@ -181,12 +203,26 @@
         if self._limit == 0:
             self._refuse_waiting("no connection allowed")
             return
-        while self._waiting and self._idle:
-            self._write(self._waiting.popleft(), self._idle.pop())
+        while self._waiting:
+            connection = self._take_idle(self._waiting[0])
+            if connection is None:
+                break
+            self._write(self._waiting.popleft(), connection)
         wanted = min(len(self._waiting), self._limit - len(self._open))
         for _ in range(wanted - len(self._attempts)):
             self._open_connection()
 
+    def _take_idle(self, call: PooledCall) -> Connection | None:
+        now = self._reactor.seconds()
+        while self._idle:
+            connection = self._idle.pop()
+            idle_s = now - connection.idle_since
+            if _may_reuse(call, connection, idle_s):
+                return connection
+            self._closing.add(connection)
+            connection.transport.loseConnection()
+        return None
+
     def _refuse_waiting(self, reason: str) -> None:
         while self._waiting:
             call = self._waiting.popleft()
@@ -218,6 +254,7 @@
     def _connected(self, connection: Any, attempt: Deferred[Any]) -> None:
         self._attempts.discard(attempt)
         self._open.add(connection)
+        connection.idle_since = self._reactor.seconds()
         self._idle.append(connection)
         self._close_surplus()
         self._run_waiting()
@@ -232,20 +269,28 @@
         self._check_in_force()
 
     def _write(self, call: PooledCall, connection: Connection) -> None:
-        body = call.build_body() if call.build_body is not None else b""
-        head = b"%s %s HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n" % (
-            call.method,
-            call.path,
-            self._headers,
-            len(body),
-        )
+        request = self._build_request(call)
         if _has_expired(call, self._wall_clock()):
             self._idle.append(connection)
             end = CallFailed(sent=False, expired=True, reason="expired")
             self._end(call, end)
             return
         call.connection = connection
-        connection.run_call(head + body, lambda end: self._end(call, end))
+        connection.run_call(
+            request, lambda end: self._end(call, end), call.form
+        )
+
+    def _build_request(self, call: PooledCall) -> bytes:
+        if call.build_request is not None:
+            return call.build_request()
+        body = call.build_body() if call.build_body is not None else b""
+        return b"%s %s HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n%s" % (
+            call.method,
+            call.path,
+            self._headers,
+            len(body),
+            body,
+        )
 
     def _time_out(self, call: PooledCall) -> None:
         call.timer = None
@@ -268,6 +313,15 @@
         self._run_waiting()
 
 
+def _may_reuse(
+    call: PooledCall, connection: Connection, idle_s: float
+) -> bool:
+    if call.most_idle_s is not None and idle_s > call.most_idle_s:
+        return False
+    limit_s = connection.idle_limit_s
+    return limit_s is None or idle_s < limit_s - IDLE_MARGIN_S
+
+
 def _has_expired(call: PooledCall, now: float) -> bool:
     return call.expires_at is not None and now >= call.expires_at
 
--- a/packages/bluebellbayd/bluebellbayd/daemon.py
+++ b/packages/bluebellbayd/bluebellbayd/daemon.py
@@ -1,15 +1,12 @@
 """The daemon: owns the decision core and carries out its commands."""
 
-import collections
 from collections.abc import Callable
 import random
 import signal
-import time
 from typing import Any
 
 from prometheus_client import CollectorRegistry
 import structlog
-from twisted.internet.base import DelayedCall
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import gatherResults
 
@@ -17,7 +14,6 @@
 from bluebellbay.coordination.part import Part
 from bluebellbay.protocol.command import AnswerCaller
 from bluebellbay.protocol.command import CancelLeg
-from bluebellbay.protocol.command import Command
 from bluebellbay.protocol.command import LogDecision
 from bluebellbay.protocol.command import PollServer
 from bluebellbay.protocol.command import ReadKey
@@ -42,6 +38,7 @@
 from bluebellbay.transport.platform import HttpStoreLink
 from bluebellbay.transport.platform import HttpVmListLink
 from bluebellbayd.clock import SteadyClock
+from bluebellbayd.driver import CoreDriver
 from bluebellbayd.log import log_decision
 from bluebellbayd.metrics import Metrics
 from bluebellbayd.status import build_status
@@ -79,13 +76,17 @@
         self.stopped: Deferred[None] = Deferred()
         self._reactor = reactor
         self._clock = clock or SteadyClock()
-        self._events: collections.deque[Event] = collections.deque()
-        self._stepping = False
         self._stopping = False
         self._healthy = False
         self._in_flight: set[int] = set()
-        self._wake: DelayedCall | None = None
-        self._wake_at = 0.0
+        self._driver = CoreDriver(
+            core=self.core,
+            reactor=reactor,
+            read_clock=self._clock.read,
+            before=self._note_event,
+            carry_out=lambda command: self._actions[type(command)](command),
+            observe=self.metrics.count_core_time,
+        )
         self._build_links()
         self._actions = self._list_actions()
 
@@ -111,16 +112,7 @@
 
         :param event: The event.
         """
-        self._events.append(event)
-        if self._stepping:
-            return
-        self._stepping = True
-        try:
-            while self._events:
-                self._step(self._events.popleft())
-        finally:
-            self._stepping = False
-        self._schedule_wake()
+        self._driver.feed(event)
 
     def _knows_profile(self, name: str) -> bool:
         return self.core.state.configuration.find_profile(name) is not None
@@ -178,24 +170,11 @@
             LogDecision: self._log_decision,
         }
 
-    def _step(self, event: Event) -> None:
+    def _note_event(self, event: Event) -> None:
         self.metrics.count_event(event)
         self._follow_caller(event)
         if isinstance(event, PeerDropped):
             self._log("Dropped a peer message", reason=event.reason)
-        for command in self._ask_core(event):
-            self._actions[type(command)](command)
-
-    def _ask_core(self, event: Event) -> tuple[Command, ...]:
-        started = time.perf_counter()
-        try:
-            return self.core.step(event, self._clock.read())
-        except Exception:
-            # One event that can't be handled must not end the others.
-            structlog.get_logger().exception("Event failed", event_=event)
-            return ()
-        finally:
-            self.metrics.count_core_time(time.perf_counter() - started)
 
     def _follow_caller(self, event: Event) -> None:
         if isinstance(event, QueryArrived):
@@ -203,24 +182,6 @@
         if isinstance(event, CallerGone):
             self._in_flight.discard(event.caller)
 
-    def _schedule_wake(self) -> None:
-        wake_at = self.core.next_wake()
-        if wake_at is None or self._stopping:
-            return
-        pending = self._wake is not None and self._wake.active()
-        if pending and self._wake_at <= wake_at:
-            return
-        if pending:
-            assert self._wake is not None
-            self._wake.cancel()
-        delay_s = max(0.0, wake_at - self._clock.read())
-        self._wake_at = wake_at
-        self._wake = self._reactor.callLater(delay_s, self._pass_time)
-
-    def _pass_time(self) -> None:
-        self._wake = None
-        self.feed(TimePassed())
-
     def _take_signal(self, number: int, frame: Any) -> None:
         self._reactor.callFromThread(self.feed, ShutdownRequested())
 
@@ -264,6 +225,7 @@
         if self._stopping:
             return
         self._stopping = True
+        self._driver.stop()
         self._log("Stopping")
         flushed = self._callers.stop()
         flushed.addTimeout(FLUSH_LIMIT_S, self._reactor)
@@ -271,8 +233,6 @@
 
     def _close(self) -> None:
         self._peers.stop()
-        if self._wake is not None and self._wake.active():
-            self._wake.cancel()
         closed = gatherResults(
             [self._backends.stop(), self._store.stop(), self._vm_list.stop()]
         )
--- a/packages/bluebellbayd/bluebellbayd/log.py
+++ b/packages/bluebellbayd/bluebellbayd/log.py
@@ -9,26 +9,26 @@
 import structlog
 
 from bluebellbay.protocol.command import LogDecision
-from bluebellbay.settings import LogSettings
 
 _ENCODER = msgspec.json.Encoder(enc_hook=str)
 _DECISIONS = structlog.get_logger()
 
 
-def configure_log(settings: LogSettings, *, node: str) -> None:
-    """Set up logging to standard error.
+def configure_log(*, form: str, node: str, file: Any = None) -> None:
+    """Set up logging.
 
-    :param settings: What is logged and how.
+    :param form: ``console`` or ``json``.
     :param node: Name of this node; part of each JSON line.
+    :param file: Binary file for JSON lines; the default is standard error.
     """
-    as_json = settings.form == "json"
+    as_json = form == "json"
     renderer: Any = (
         structlog.processors.JSONRenderer(serializer=_encode_line)
         if as_json
         else structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
     )
     factory: Any = (
-        structlog.BytesLoggerFactory(file=sys.stderr.buffer)
+        structlog.BytesLoggerFactory(file=file or sys.stderr.buffer)
         if as_json
         else structlog.WriteLoggerFactory(file=sys.stderr)
     )
--- a/packages/bluebellbayd/bluebellbayd/main.py
+++ b/packages/bluebellbayd/bluebellbayd/main.py
@@ -48,7 +48,7 @@
     :param settings: The settings.
     """
     reactor: Any = default_reactor
-    configure_log(settings.log, node=settings.node.name)
+    configure_log(form=settings.log.form, node=settings.node.name)
     daemon = Daemon(settings=settings, reactor=reactor)
 
     def start() -> None:
--- /dev/null
+++ b/packages/bluebellbayd/bluebellbayd/routing_metrics.py
@@ -0,0 +1,162 @@
+"""What is measured of routed requests, for Prometheus."""
+
+from prometheus_client import CollectorRegistry
+from prometheus_client import Counter
+from prometheus_client import Gauge
+from prometheus_client import Histogram
+
+from bluebellbay.protocol.exchange import AttemptFailed
+from bluebellbay.protocol.exchange import AttemptRefused
+from bluebellbay.protocol.exchange import AttemptReplied
+from bluebellbay.protocol.exchange import ErrorAnswer
+from bluebellbay.protocol.exchange import ExchangeAbandoned
+from bluebellbay.protocol.exchange import ExchangeAnswer
+from bluebellbay.protocol.exchange import MergedAnswer
+from bluebellbay.state.router import RouterState
+
+LATENCY_BUCKETS_S = (
+    0.01,
+    0.02,
+    0.03,
+    0.05,
+    0.07,
+    0.1,
+    0.15,
+    0.2,
+    0.25,
+    0.35,
+    0.5,
+    0.8,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+)
+
+
+class RoutingMetrics:
+    """The metrics of one node that routes requests.
+
+    :param registry: Where they are published.
+    """
+
+    def __init__(self, *, registry: CollectorRegistry) -> None:
+        self.registry = registry
+        self._latency = Histogram(
+            "bluebellbay_exchange_seconds",
+            "Time from a request's arrival to its answer.",
+            ("outcome",),
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self._ends = Counter(
+            "bluebellbay_attempt_ends",
+            "Attempts at replicas, by how they ended.",
+            ("end",),
+            registry=registry,
+        )
+        self._missing = Counter(
+            "bluebellbay_missing_shards",
+            "Shards left out of answers.",
+            registry=registry,
+        )
+        self._left = Counter(
+            "bluebellbay_callers_left",
+            "Callers that left before their answer.",
+            registry=registry,
+        )
+        self._rejected = Counter(
+            "bluebellbay_unreadable_requests",
+            "Requests that could not be read, by status.",
+            ("status",),
+            registry=registry,
+        )
+        self._unreadable = Counter(
+            "bluebellbay_unreadable_items",
+            "Items of the store that could not be read.",
+            registry=registry,
+        )
+        self._core_s = Counter(
+            "bluebellbay_core_seconds",
+            "Time spent on decisions.",
+            registry=registry,
+        )
+        self._dropped_lines = Counter(
+            "bluebellbay_dropped_log_lines",
+            "Log lines left out to bound the log.",
+            registry=registry,
+        )
+        self._version = Gauge(
+            "bluebellbay_configuration_version",
+            "Version of the configuration in force.",
+            registry=registry,
+        )
+        self._replicas = Gauge(
+            "bluebellbay_replicas", "Replicas known.", registry=registry
+        )
+        self._nodes = Gauge(
+            "bluebellbay_nodes", "Nodes counted.", registry=registry
+        )
+
+    def count_event(self, event: object) -> None:
+        """Count how an attempt or an exchange went.
+
+        :param event: The event.
+        """
+        if isinstance(event, AttemptReplied):
+            end = "replied" if event.reply.succeeded else "failure"
+            self._ends.labels(end).inc()
+        elif isinstance(event, AttemptRefused):
+            self._ends.labels(event.kind.value).inc()
+        elif isinstance(event, AttemptFailed):
+            self._ends.labels("lost" if event.sent else "unsent").inc()
+        elif isinstance(event, ExchangeAbandoned):
+            self._left.inc()
+
+    def observe_answer(self, answer: ExchangeAnswer, seconds: float) -> None:
+        """Take an answer.
+
+        :param answer: The answer.
+        :param seconds: Time from the request's arrival.
+        """
+        outcome = "forwarded"
+        if isinstance(answer, ErrorAnswer):
+            outcome = answer.kind.value
+        elif isinstance(answer, MergedAnswer):
+            outcome = "partial" if answer.missing else "whole"
+            self._missing.inc(answer.missing)
+        self._latency.labels(outcome).observe(seconds)
+
+    def count_rejected(self, status: int) -> None:
+        """Count a request that could not be read.
+
+        :param status: The status that it was answered with.
+        """
+        self._rejected.labels(str(status)).inc()
+
+    def count_unreadable_item(self) -> None:
+        """Count an item of the store that could not be read."""
+        self._unreadable.inc()
+
+    def count_core_time(self, seconds: float) -> None:
+        """Count time spent on decisions.
+
+        :param seconds: The time.
+        """
+        self._core_s.inc(seconds)
+
+    def count_dropped_lines(self, lines: int) -> None:
+        """Count log lines that were left out.
+
+        :param lines: How many.
+        """
+        self._dropped_lines.inc(lines)
+
+    def set_gauges(self, state: RouterState) -> None:
+        """Set what is read only when metrics are.
+
+        :param state: What the node knows.
+        """
+        self._version.set(state.routes.version)
+        self._replicas.set(len(state.replicas))
+        self._nodes.set(state.nodes)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -130,12 +130,19 @@
     return {
         "formatter": [str(BIN / "ruff"), "format", "--check", "."],
         "linter": [str(BIN / "ruff"), "check", "."],
-        "hacking": [str(BIN / "flake8"), "packages", "features", "tools"],
+        "hacking": [
+            str(BIN / "flake8"),
+            "packages",
+            "platform",
+            "features",
+            "tools",
+        ],
         "types": [
             str(BIN / "mypy"),
             *(
                 str(path.relative_to(ROOT))
-                for path in sorted(ROOT.glob("packages/*/bluebell*"))
+                for pattern in ("packages/*/bluebell*", "platform/bluebell*")
+                for path in sorted(ROOT.glob(pattern))
                 if not path.name.endswith(".egg-info")
             ),
         ],
