Let peers query the shards that no near replica holds

Now one peer in a zone that holds them queries these shards and sends back their greatest records together. Ruled out: moving the whole query, as two thirds of its shards are near; asking again from here after a peer failed, as the peer may have used every attempt. The objective counts the caller's way to us too (p50 was 1 ms past it with a dead shard); shards whose replicas are set aside are not waited for past the floor; replicas that refuse are avoided.

--- a/packages/bluebellbay/bluebellbay/coordination/routing/context.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/context.py
@@ -1,10 +1,15 @@
 """What all routed requests of one node share."""
 
 from collections.abc import Iterable
+from typing import TYPE_CHECKING
 
 from bluebellbay.coordination.base_part import Step
 from bluebellbay.coordination.routing.attempt import Attempt
 from bluebellbay.coordination.routing.attempt import Overdue
+from bluebellbay.coordination.routing.delegation import Assignment
+from bluebellbay.coordination.routing.delegation import AVOID_S
+from bluebellbay.coordination.routing.delegation import Delegation
+from bluebellbay.coordination.routing.delegation import PeerChooser
 from bluebellbay.coordination.routing.leg import Leg
 from bluebellbay.coordination.routing.patience import find_wait
 from bluebellbay.coordination.routing.retry_budget import RetryBudgetTable
@@ -15,10 +20,16 @@
 from bluebellbay.protocol.command import Field
 from bluebellbay.protocol.command import LogDecision
 from bluebellbay.protocol.exchange import CancelAttempt
+from bluebellbay.protocol.exchange import CancelDelegation
+from bluebellbay.protocol.exchange import DelegateQuery
 from bluebellbay.protocol.exchange import SendAttempt
+from bluebellbay.protocol.exchange import WithdrawDelegation
 from bluebellbay.state.replica import ReplicaRecord
 from bluebellbay.state.router import RouterState
 
+if TYPE_CHECKING:
+    from bluebellbay.coordination.routing.scatter import ScatterRun
+
 PART = "router"
 EJECTION_FAILURES = 3
 FIRST_EJECTION_S = 1.0
@@ -40,7 +51,9 @@
         self.selector = ReplicaSelector(state=state)
         self.budgets = RetryBudgetTable(rules=rules, state=state)
         self.timers = TimerQueue()
+        self.peers = PeerChooser(state=state)
         self.attempts: dict[int, Attempt] = {}
+        self.delegations: dict[int, Delegation] = {}
         self._steps: list[Step] = []
         self._sent = 0
 
@@ -141,10 +154,20 @@
         record = attempt.record
         record.find_latency(route).add(seconds, now)
         record.heard_at = now
+        record.refusals.add(0.0, now)
         record.failures = 0
         record.ejected_until = 0.0
         self.selector.find_pooled(route).add(seconds, now)
 
+    def note_refusal(self, attempt: Attempt, now: float) -> None:
+        """Learn from an attempt that its replica refused.
+
+        :param attempt: The attempt.
+        :param now: Present time in seconds.
+        """
+        attempt.record.heard_at = now
+        attempt.record.refusals.add(1.0, now)
+
     def note_failure(self, attempt: Attempt, reason: str, now: float) -> None:
         """Learn from an attempt that failed or was silent for too long.
 
@@ -195,6 +218,81 @@
             now + LINGER_S, Unwanted(context=self, attempt=attempt)
         )
 
+    def delegate(
+        self, run: "ScatterRun", assignment: Assignment, now: float
+    ) -> Delegation:
+        """Let a peer query some shards.
+
+        :param run: The query.
+        :param assignment: The peer and the shards.
+        :param now: Present time in seconds.
+        :returns: The delegation.
+        """
+        self._sent += 1
+        peer = assignment.peer
+        delegation = Delegation(
+            run=run, number=self._sent, assignment=assignment, now=now
+        )
+        self.delegations[delegation.number] = delegation
+        peer.in_flight += 1
+        for wake_at in delegation.list_wakes():
+            self.timers.add(wake_at, delegation)
+        self._steps.append(
+            DelegateQuery(
+                attempt=delegation.number,
+                request=run.request,
+                peer=peer.entry,
+                terms=delegation.build_terms(self.state.routes.version, now),
+                deadline_s=run.deadline - now,
+            )
+        )
+        return delegation
+
+    def withdraw(self, delegation: Delegation) -> None:
+        """Take a query back from a peer that can't be reached.
+
+        :param delegation: The delegation.
+        """
+        self._steps.append(WithdrawDelegation(attempt=delegation.number))
+
+    def cancel_delegation(self, delegation: Delegation) -> None:
+        """Stop a query at a peer.
+
+        :param delegation: The delegation.
+        """
+        self._steps.append(CancelDelegation(attempt=delegation.number))
+
+    def end_delegation(self, number: int) -> Delegation | None:
+        """Note that the transport has reported the end of a delegation.
+
+        :param number: Number of the attempt.
+        :returns: The delegation, if it was under way.
+        """
+        delegation = self.delegations.pop(number, None)
+        if delegation is not None:
+            delegation.peer.in_flight -= 1
+            delegation.over = True
+        return delegation
+
+    def avoid(self, delegation: Delegation, reason: str, now: float) -> None:
+        """Give a peer no queries for a while.
+
+        :param delegation: The delegation that went wrong.
+        :param reason: One short phrase.
+        :param now: Present time in seconds.
+        """
+        peer = delegation.peer
+        if peer.avoided_until > now:
+            return
+        peer.avoided_until = now + AVOID_S
+        self.log(
+            "Avoided a peer.",
+            delegation.run.request.request_id,
+            peer=peer.entry.name,
+            reason=reason,
+            seconds=AVOID_S,
+        )
+
 
 class Unwanted(Timed):
     """Cancels an attempt that outlives its request.
--- a/packages/bluebellbay/bluebellbay/coordination/routing/exchange.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/exchange.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import dataclasses
 from typing import Any
 
 from bluebellbay.coordination.base_part import Step
@@ -19,6 +20,8 @@
 from bluebellbay.protocol.exchange import AttemptFailed
 from bluebellbay.protocol.exchange import AttemptRefused
 from bluebellbay.protocol.exchange import AttemptReplied
+from bluebellbay.protocol.exchange import DelegationAnswered
+from bluebellbay.protocol.exchange import DelegationTerms
 from bluebellbay.protocol.exchange import ErrorAnswer
 from bluebellbay.protocol.exchange import ExchangeAbandoned
 from bluebellbay.protocol.exchange import ExchangeOpened
@@ -43,6 +46,7 @@
             AttemptReplied: self._take_reply,
             AttemptRefused: self._take_refusal,
             AttemptFailed: self._take_failure,
+            DelegationAnswered: self._take_delegation,
             TimePassed: self._pass_time,
         }
 
@@ -78,6 +82,9 @@
             return
         request = event.request
         route = self.state.routes.find(request.host, request.path)
+        if not self._fits_delegation(request.delegation, route):
+            self._refuse(event, AnswerKind.REFUSED)
+            return
         if route is None:
             self._refuse(event, AnswerKind.NO_ROUTE)
             return
@@ -87,15 +94,34 @@
         if run.finished:
             del self._runs[event.exchange]
 
+    def _fits_delegation(
+        self, terms: DelegationTerms | None, route: Route | None
+    ) -> bool:
+        if terms is None:
+            return True
+        return (
+            route is not None
+            and route.scatter is not None
+            and set(terms.shards) <= set(route.scatter.shards)
+            and self.state.routes.version >= terms.version
+            and not self.state.draining
+        )
+
     def _build_run(
         self, event: ExchangeOpened, route: Route, version: int, now: float
     ) -> Run:
-        if route.scatter is not None:
+        rule = route.scatter
+        if rule is not None:
+            terms = event.request.delegation
+            if terms is not None:
+                rule = dataclasses.replace(
+                    rule, shards=terms.shards, least_coverage=0.0
+                )
             return ScatterRun(
                 context=self.context,
                 opened=event,
                 route=route,
-                rule=route.scatter,
+                rule=rule,
                 version=version,
                 now=now,
             )
@@ -149,16 +175,27 @@
             return
         if event.kind is RefusalKind.OTHER_REPLICA:
             self._drop_replica(attempt.record.incarnation, now)
+        self.context.note_refusal(attempt, now)
         if attempt.wanted:
             attempt.leg.take_refusal(attempt, event.kind, now)
 
     def _take_failure(self, event: AttemptFailed, now: float) -> None:
+        delegation = self.context.end_delegation(event.attempt)
+        if delegation is not None:
+            self.context.avoid(delegation, event.reason, now)
+            delegation.run.lose_peer(delegation, sent=event.sent, now=now)
+            return
         attempt = self.context.end(event.attempt)
         if attempt is None or not attempt.wanted:
             return
         self.context.note_failure(attempt, event.reason, now)
         attempt.leg.take_failure(attempt, sent=event.sent, now=now)
 
+    def _take_delegation(self, event: DelegationAnswered, now: float) -> None:
+        delegation = self.context.end_delegation(event.attempt)
+        if delegation is not None:
+            delegation.run.take_answer(delegation, event.answer, now)
+
     def _drop_replica(self, incarnation: tuple[str, int], now: float) -> None:
         record = self.state.replicas.find(incarnation[0])
         if record is None or record.incarnation != incarnation:
--- a/packages/bluebellbay/bluebellbay/coordination/routing/leg.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/leg.py
@@ -56,6 +56,19 @@
         """Why there is no reply, once there is none."""
         return self._reason
 
+    def is_hopeful(self, now: float) -> bool:
+        """Say whether a reply can be expected.
+
+        :param now: Present time in seconds.
+        :returns: Whether it waits for a replica that is not set aside, or
+            is about to ask one.
+        """
+        if self.closed:
+            return False
+        return not self._under_way or any(
+            attempt.record.ejected_until <= now for attempt in self._under_way
+        )
+
     def start(self, now: float) -> None:
         """Send the first attempt.
 
--- a/packages/bluebellbay/bluebellbay/coordination/routing/objective.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/objective.py
@@ -3,8 +3,9 @@
 import enum
 import math
 
-# Time for an answer to be written and to reach the caller.
-WAY_HOME_S = 0.006
+# Time for a request to come from the caller, and for its answer to be
+# written and to reach the caller.
+BOTH_WAYS_S = 0.010
 
 
 class Verdict(enum.Enum):
@@ -27,16 +28,24 @@
 
 
 def judge(
-    *, shards: int, replied: int, open_: int, least: int, due: bool
+    *,
+    shards: int,
+    replied: int,
+    open_: int,
+    hopeful: bool,
+    least: int,
+    due: bool,
 ) -> Verdict:
     """Decide on a query over shards.
 
     A whole answer is best before the objective; after it, an answer is
-    worth little more with each shard, and less with each moment.
+    worth little more with each shard, and less with each moment. Replicas
+    that have been failing are waited for only if the answer needs them.
 
     :param shards: Shards of the query.
     :param replied: Shards that are in.
     :param open_: Shards that may still come.
+    :param hopeful: Whether one of them is asked of a sound replica.
     :param least: Shards without which there is no answer.
     :param due: Whether the objective is reached.
     :returns: The verdict.
@@ -45,6 +54,6 @@
         return Verdict.ANSWER
     if replied + open_ < least:
         return Verdict.GIVE_UP
-    if replied >= least and (due or not open_):
+    if replied >= least and (due or not hopeful):
         return Verdict.ANSWER
     return Verdict.WAIT
--- a/packages/bluebellbay/bluebellbay/coordination/routing/registry.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/registry.py
@@ -23,7 +23,9 @@
 from bluebellbay.protocol.exchange import SetConnectionLimit
 from bluebellbay.protocol.exchange import StoreLost
 from bluebellbay.protocol.exchange import StoreRegained
+from bluebellbay.protocol.node import NodeEntry
 from bluebellbay.protocol.replica import ReplicaEntry
+from bluebellbay.state.peer import PeerRecord
 from bluebellbay.state.replica import ReplicaRecord
 
 # Entries that lapsed during an outage are written again within two seconds.
@@ -45,7 +47,6 @@
         self._store_lost = False
         self._regained_at = -math.inf
         self._unlisted: dict[str, None] = {}
-        self._nodes: dict[str, float | None] = {}
         self._actions: dict[type, Callable[[Any, float], None]] = {
             ConfigurationFound: self._take_configuration,
             ReplicasListed: self._take_list,
@@ -174,28 +175,42 @@
         self.context.emit(ForgetReplica(replica=record.entry))
 
     def _take_nodes(self, event: NodesListed, now: float) -> None:
-        for name in self._nodes:
-            if name not in event.names and self._nodes[name] is None:
-                self._nodes[name] = now
-        self._nodes.update(dict.fromkeys(event.names))
+        listed = {node.name for node in event.nodes}
+        for name, peer in self.state.peers.items():
+            if name not in listed and peer.gone_at is None:
+                peer.gone_at = now
+        for node in event.nodes:
+            self._add_node(node)
         self._count_nodes(now)
 
     def _take_node(self, event: NodeSeen, now: float) -> None:
-        self._nodes[event.name] = None
+        self._add_node(event.node)
         self._count_nodes(now)
 
     def _take_node_removal(self, event: NodeUnlisted, now: float) -> None:
-        if self._nodes.get(event.name, now) is None:
-            self._nodes[event.name] = now
+        peer = self.state.peers.get(event.name)
+        if peer is not None and peer.gone_at is None:
+            peer.gone_at = now
         self._count_nodes(now)
 
+    def _add_node(self, node: NodeEntry) -> None:
+        if node.name == self.rules.node:
+            return
+        peer = self.state.peers.get(node.name)
+        if peer is None:
+            self.state.peers[node.name] = PeerRecord(entry=node)
+            return
+        if peer.entry != node:
+            peer.avoided_until = 0.0
+        peer.entry = node
+        peer.gone_at = None
+
     def _count_nodes(self, now: float) -> None:
-        self._nodes = {
-            name: gone_at
-            for name, gone_at in self._nodes.items()
-            if gone_at is None or now < gone_at + NODE_LINGER_S
-        }
-        count = len({*self._nodes, self.rules.node})
+        for name, peer in tuple(self.state.peers.items()):
+            gone_at = peer.gone_at
+            if gone_at is not None and now >= gone_at + NODE_LINGER_S:
+                del self.state.peers[name]
+        count = len(self.state.peers) + 1
         if count == self.state.nodes:
             return
         self.context.log(
--- a/packages/bluebellbay/bluebellbay/coordination/routing/run.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/run.py
@@ -4,7 +4,7 @@
 
 from bluebellbay.coordination.routing.context import RoutingContext
 from bluebellbay.coordination.routing.leg import Leg
-from bluebellbay.coordination.routing.objective import WAY_HOME_S
+from bluebellbay.coordination.routing.objective import BOTH_WAYS_S
 from bluebellbay.coordination.timer import Timed
 from bluebellbay.protocol.exchange import AnswerKind
 from bluebellbay.protocol.exchange import ErrorAnswer
@@ -51,7 +51,7 @@
         if patience_s is not None:
             wait_s = min(wait_s, patience_s - ERROR_WAY_S)
         self.deadline = sent_at + wait_s
-        self.objective_at = sent_at + route.objective_s - WAY_HOME_S
+        self.objective_at = sent_at + route.objective_s - BOTH_WAYS_S
 
     @property
     def is_over(self) -> bool:
@@ -86,14 +86,26 @@
     def list_legs(self) -> tuple[Leg, ...]:
         """List all legs."""
 
+    def stop_legs(self, now: float, *, abandoned: bool) -> None:
+        """End all attempts.
+
+        :param now: Present time in seconds.
+        :param abandoned: Whether the caller has left.
+        """
+        for leg in self.list_legs():
+            leg.stop(now, abandoned=abandoned)
+
+    def may_have_run(self) -> bool:
+        """Say whether any replica may have run the request."""
+        return any(leg.may_have_run > 0 for leg in self.list_legs())
+
     def abandon(self, now: float) -> None:
         """Stop, as the caller has left.
 
         :param now: Present time in seconds.
         """
         self.finished = True
-        for leg in self.list_legs():
-            leg.stop(now, abandoned=True)
+        self.stop_legs(now, abandoned=True)
         self._log("Stopped, as the caller has left.", now)
 
     def answer(
@@ -106,8 +118,7 @@
         :param why: What decided it, for the log.
         """
         self.finished = True
-        for leg in self.list_legs():
-            leg.stop(now, abandoned=False)
+        self.stop_legs(now, abandoned=False)
         self.context.emit(answer)
         self._log("Answered.", now, **why)
 
@@ -118,7 +129,7 @@
         :param now: Present time in seconds.
         :param why: What decided it, for the log.
         """
-        ran = any(leg.may_have_run > 0 for leg in self.list_legs())
+        ran = self.may_have_run()
         answer = ErrorAnswer(
             exchange=self.exchange,
             kind=kind,
--- a/packages/bluebellbay/bluebellbay/coordination/routing/scatter.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/scatter.py
@@ -1,6 +1,7 @@
 """A query over shards: one leg a shard, one merged answer."""
 
 from bluebellbay.coordination.routing.context import RoutingContext
+from bluebellbay.coordination.routing.delegation import Delegation
 from bluebellbay.coordination.routing.leg import Leg
 from bluebellbay.coordination.routing.objective import count_least
 from bluebellbay.coordination.routing.objective import judge
@@ -8,6 +9,7 @@
 from bluebellbay.coordination.routing.run import Run
 from bluebellbay.coordination.routing.top_records import merge_records
 from bluebellbay.protocol.exchange import AnswerKind
+from bluebellbay.protocol.exchange import ErrorAnswer
 from bluebellbay.protocol.exchange import ExchangeOpened
 from bluebellbay.protocol.exchange import MergedAnswer
 from bluebellbay.protocol.exchange import ReplicaReply
@@ -45,39 +47,45 @@
         )
         self._rule = rule
         self._least = count_least(len(rule.shards), rule.least_coverage)
-        self._legs: tuple[Leg, ...] = ()
+        self._legs: list[Leg] = []
+        self._delegations: dict[int, Delegation] = {}
         self._replies: dict[str, ReplicaReply] = {}
+        self._merged: list[MergedAnswer] = []
+        self._replied = 0
         self._lost = 0
+        self._ran_elsewhere = False
+        terms = opened.request.delegation
+        self._terms = terms
+        if terms is not None:
+            self.objective_at = now + terms.objective_s
 
     def list_legs(self) -> tuple[Leg, ...]:
-        """List the legs, one a shard."""
-        return self._legs
+        """List the legs that are sent from here."""
+        return tuple(self._legs)
 
     def start(self, now: float) -> None:
-        """Send a leg to each shard.
+        """Send a leg to each shard, some by way of peers.
 
         :param now: Present time in seconds.
         """
         if now >= self.deadline:
             self.fail(AnswerKind.EXPIRED, now)
             return
-        selector = self.context.selector
-        usable = sum(
-            bool(selector.count_usable(shard)) for shard in self._rule.shards
-        )
-        if usable < self._least:
-            self.fail(AnswerKind.NO_REPLICA, now, shards=usable)
+        if not self._has_enough(now):
             return
         self.context.timers.add(self.deadline, self)
         if self.objective_at < self.deadline:
             self.context.timers.add(self.objective_at, self)
-        self._legs = tuple(
-            Leg(context=self.context, run=self, service=shard)
-            for shard in self._rule.shards
-        )
-        for leg in self._legs:
-            if not self.finished:
-                leg.start(now)
+        near = dict.fromkeys(self._rule.shards)
+        if self._terms is None:
+            for assignment in self.context.peers.assign(
+                self._rule.shards, now
+            ):
+                delegation = self.context.delegate(self, assignment, now)
+                self._delegations[delegation.number] = delegation
+                for shard in assignment.shards:
+                    del near[shard]
+        self._send_legs(tuple(near), now)
 
     def wake(self, now: float) -> None:
         """Answer with what is in, as the objective or the time is reached.
@@ -86,7 +94,7 @@
         """
         self._decide(now)
         if not self.finished and now >= self.deadline:
-            self.fail(AnswerKind.TIMED_OUT, now, shards=len(self._replies))
+            self.fail(AnswerKind.TIMED_OUT, now, shards=self._replied)
 
     def take_reply(self, leg: Leg, reply: ReplicaReply, now: float) -> None:
         """Take a shard's reply.
@@ -96,6 +104,7 @@
         :param now: Present time in seconds.
         """
         self._replies[leg.service] = reply
+        self._replied += 1
         self._decide(now)
 
     def lose(self, leg: Leg, now: float) -> None:
@@ -107,15 +116,111 @@
         self._lost += 1
         self._decide(now)
 
+    def take_answer(
+        self,
+        delegation: Delegation,
+        answer: MergedAnswer | ErrorAnswer,
+        now: float,
+    ) -> None:
+        """Take the shards that a peer has queried.
+
+        :param delegation: What was asked of it.
+        :param answer: Its answer.
+        :param now: Present time in seconds.
+        """
+        if not self._drop(delegation):
+            return
+        if isinstance(answer, ErrorAnswer):
+            self._do_without(delegation, ran=answer.ran, now=now)
+            return
+        self._merged.append(answer)
+        self._replied += len(answer.digests)
+        self._lost += answer.missing
+        self._decide(now)
+
+    def lose_peer(
+        self, delegation: Delegation, *, sent: bool, now: float
+    ) -> None:
+        """Go on without a peer that has failed.
+
+        :param delegation: What was asked of it.
+        :param sent: False only if no byte of it was written.
+        :param now: Present time in seconds.
+        """
+        if self._drop(delegation):
+            self._do_without(delegation, ran=sent, now=now)
+
+    def give_up_peer(self, delegation: Delegation, now: float) -> None:
+        """Wait for a silent peer no longer.
+
+        :param delegation: What was asked of it.
+        :param now: Present time in seconds.
+        """
+        if self._drop(delegation):
+            self.context.cancel_delegation(delegation)
+            self._do_without(delegation, ran=True, now=now)
+
+    def stop_legs(self, now: float, *, abandoned: bool) -> None:
+        """End all attempts, also those of peers.
+
+        :param now: Present time in seconds.
+        :param abandoned: Whether the caller has left.
+        """
+        super().stop_legs(now, abandoned=abandoned)
+        for delegation in self._delegations.values():
+            self.context.cancel_delegation(delegation)
+            self._ran_elsewhere = True
+        self._delegations = {}
+
+    def may_have_run(self) -> bool:
+        """Say whether any shard may have run the query."""
+        elsewhere = self._ran_elsewhere or self._merged or self._delegations
+        return bool(elsewhere) or super().may_have_run()
+
+    def _has_enough(self, now: float) -> bool:
+        selector = self.context.selector
+        usable = sum(
+            bool(selector.count_usable(shard)) for shard in self._rule.shards
+        )
+        if usable >= self._least:
+            return True
+        self.fail(AnswerKind.NO_REPLICA, now, shards=usable)
+        return False
+
+    def _send_legs(self, shards: tuple[str, ...], now: float) -> None:
+        legs = [
+            Leg(context=self.context, run=self, service=shard)
+            for shard in shards
+        ]
+        self._legs.extend(legs)
+        for leg in legs:
+            if not self.finished:
+                leg.start(now)
+
+    def _drop(self, delegation: Delegation) -> bool:
+        found = self._delegations.pop(delegation.number, None)
+        return found is not None and not self.finished
+
+    def _do_without(
+        self, delegation: Delegation, *, ran: bool, now: float
+    ) -> None:
+        if not ran:
+            self._send_legs(delegation.shards, now)
+            return
+        self._ran_elsewhere = True
+        self._lost += len(delegation.shards)
+        self._decide(now)
+
     def _decide(self, now: float) -> None:
         if self.finished:
             return
         shards = len(self._rule.shards)
-        replied = len(self._replies)
+        replied = self._replied
         verdict = judge(
             shards=shards,
             replied=replied,
             open_=shards - replied - self._lost,
+            hopeful=replied < self._least or self._hopes(now),
             least=self._least,
             due=now >= self.objective_at,
         )
@@ -124,19 +229,27 @@
         elif verdict is Verdict.GIVE_UP:
             self.fail(AnswerKind.TOO_FEW_SHARDS, now, shards=replied)
 
+    def _hopes(self, now: float) -> bool:
+        return bool(self._delegations) or any(
+            leg.is_hopeful(now) for leg in self._legs
+        )
+
     def _merge(self, now: float) -> None:
-        replies = self._replies.values()
-        missing = len(self._rule.shards) - len(replies)
+        bodies = [reply.body for reply in self._replies.values()]
+        bodies.extend(answer.records for answer in self._merged)
+        digests = [reply.digest for reply in self._replies.values()]
+        for answer in self._merged:
+            digests.extend(answer.digests)
+        missing = len(self._rule.shards) - len(digests)
         self.answer(
             MergedAnswer(
                 exchange=self.exchange,
-                records=merge_records(
-                    (reply.body for reply in replies), self._rule.most_records
-                ),
-                digests=tuple(reply.digest for reply in replies),
+                records=merge_records(bodies, self._rule.most_records),
+                digests=tuple(digests),
                 missing=missing,
             ),
             now,
-            shards=len(replies),
+            shards=len(digests),
             missing=missing,
+            by_peers=sum(len(answer.digests) for answer in self._merged),
         )
--- a/packages/bluebellbay/bluebellbay/coordination/routing/selection.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/selection.py
@@ -11,6 +11,8 @@
 CROSS_DOMAIN_S = 0.030
 OVERDUE_S = 0.100
 LAST_RESORT_S = 10.0
+# A refusal costs little time, but part of the retry budget.
+REFUSAL_S = 0.060
 WARMUP_FACTOR = 1.6
 UNKNOWN_LATENCY_S = 0.010
 # An estimate loses its weight while nothing is sent there.
@@ -83,6 +85,7 @@
             time_s *= 1 + waiting / entry.slots
         if entry.failure_domain != self._state.failure_domain:
             time_s += CROSS_DOMAIN_S
+        time_s += REFUSAL_S * record.refusals.read(now)
         if record.is_overdue(now):
             time_s += OVERDUE_S
         if record.ejected_until > now or record.unlisted_at is not None:
--- a/packages/bluebellbay/bluebellbay/protocol/exchange.py
+++ b/packages/bluebellbay/bluebellbay/protocol/exchange.py
@@ -3,11 +3,26 @@
 import dataclasses
 import enum
 
+from bluebellbay.protocol.node import NodeEntry
 from bluebellbay.protocol.replica import ReplicaEntry
 from bluebellbay.protocol.route import CallerLimits
 from bluebellbay.protocol.route import RouteConfiguration
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DelegationTerms:
+    """What a node asks of a peer that runs part of a query in its place.
+
+    :param version: Least version of the configuration to run it under.
+    :param shards: Services that hold the shards wanted.
+    :param objective_s: Seconds until the answer is wanted.
+    """
+
+    version: int
+    shards: tuple[str, ...]
+    objective_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RoutedRequest:
     """A caller's request, as it is passed on.
@@ -21,6 +36,7 @@
     :param has_body: Whether a body was announced, be it empty.
     :param patience_s: Seconds that the caller waits, from its sending; none
         if it did not say.
+    :param delegation: Set if a peer asks in place of the caller.
     """
 
     request_id: str
@@ -31,6 +47,7 @@
     body: bytes = b""
     has_body: bool = False
     patience_s: float | None = None
+    delegation: DelegationTerms | None = None
 
     @property
     def path(self) -> str:
@@ -206,20 +223,20 @@
 class NodesListed:
     """The nodes that hold a lease in the store were read.
 
-    :param names: Their names, this one's included.
+    :param nodes: The nodes, this one included.
     """
 
-    names: tuple[str, ...]
+    nodes: tuple[NodeEntry, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class NodeSeen:
     """A node has taken a lease.
 
-    :param name: Name of the node.
+    :param node: The node.
     """
 
-    name: str
+    node: NodeEntry
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -258,6 +275,44 @@
     attempt: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DelegateQuery:
+    """Let a peer query some shards; one event reports how it ended.
+
+    :param attempt: Number of the attempt.
+    :param request: The request.
+    :param peer: The peer.
+    :param terms: What is asked of it.
+    :param deadline_s: Seconds after which it stops its work.
+    """
+
+    attempt: int
+    request: RoutedRequest
+    peer: NodeEntry
+    terms: DelegationTerms
+    deadline_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WithdrawDelegation:
+    """Take a query back from a peer if nothing of it has been written.
+
+    :param attempt: Number of the attempt.
+    """
+
+    attempt: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CancelDelegation:
+    """Stop a query at a peer; its end is reported as a failure.
+
+    :param attempt: Number of the attempt.
+    """
+
+    attempt: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ForwardAnswer:
     """Answer a caller with a replica's reply, unchanged.
@@ -302,6 +357,18 @@
     retry_after_s: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DelegationAnswered:
+    """A peer answered a query.
+
+    :param attempt: Number of the attempt.
+    :param answer: Its answer, with the peer's number of the exchange.
+    """
+
+    attempt: int
+    answer: MergedAnswer | ErrorAnswer
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SetConnectionLimit:
     """Bound the connections to a replica.
@@ -351,6 +418,7 @@
     | ReplicaUnlisted
     | StoreLost
     | StoreRegained
+    | DelegationAnswered
     | NodesListed
     | NodeSeen
     | NodeUnlisted
@@ -361,6 +429,9 @@
 RoutingCommand = (
     SendAttempt
     | CancelAttempt
+    | DelegateQuery
+    | WithdrawDelegation
+    | CancelDelegation
     | ExchangeAnswer
     | SetConnectionLimit
     | ForgetReplica
--- a/packages/bluebellbay/bluebellbay/state/replica.py
+++ b/packages/bluebellbay/bluebellbay/state/replica.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from bluebellbay.protocol.replica import ReplicaEntry
+from bluebellbay.state.fading_share import FadingShare
 from bluebellbay.state.latency import LatencyWindow
 
 
@@ -17,6 +18,7 @@
     :param in_flight: Attempts of this node under way: number to the time in
         seconds when each is overdue, in order of sending.
     :param latencies: Latencies by name of route.
+    :param refusals: Share of attempts that it refused lately.
     :param failures: Failures in a row.
     :param ejected_until: Time in seconds until which it is a last resort.
     :param heard_at: Time in seconds when it answered last.
@@ -30,6 +32,7 @@
     latencies: dict[str, LatencyWindow] = dataclasses.field(
         default_factory=dict
     )
+    refusals: FadingShare = dataclasses.field(default_factory=FadingShare)
     failures: int = 0
     ejected_until: float = 0.0
     heard_at: float = 0.0
--- a/packages/bluebellbay/bluebellbay/state/router.py
+++ b/packages/bluebellbay/bluebellbay/state/router.py
@@ -2,6 +2,7 @@
 
 import random
 
+from bluebellbay.state.peer import PeerRecord
 from bluebellbay.state.replica import ReplicaTable
 from bluebellbay.state.route_table import RouteTable
 
@@ -22,4 +23,5 @@
         self.nodes = nodes
         self.routes = RouteTable()
         self.replicas = ReplicaTable()
+        self.peers: dict[str, PeerRecord] = {}
         self.draining = False
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/transport/delegation.py
@@ -0,0 +1,214 @@
+"""Queries that a peer runs in place of this node, by HTTP and msgpack.
+
+A connection carries one query at a time, so that closing it cancels the
+query at the peer.
+"""
+
+import dataclasses
+from typing import Any
+
+import msgspec
+
+from bluebellbay.protocol.exchange import AnswerKind
+from bluebellbay.protocol.exchange import AttemptFailed
+from bluebellbay.protocol.exchange import CancelDelegation
+from bluebellbay.protocol.exchange import DelegateQuery
+from bluebellbay.protocol.exchange import DelegationAnswered
+from bluebellbay.protocol.exchange import DelegationTerms
+from bluebellbay.protocol.exchange import ErrorAnswer
+from bluebellbay.protocol.exchange import ExchangeAnswer
+from bluebellbay.protocol.exchange import ForwardAnswer
+from bluebellbay.protocol.exchange import MergedAnswer
+from bluebellbay.protocol.exchange import RoutedRequest
+from bluebellbay.protocol.exchange import WithdrawDelegation
+from bluebellbay.protocol.node import NodeEntry
+from bluebellbay.transport.connection import CallAnswered
+from bluebellbay.transport.connection import CallEnd
+from bluebellbay.transport.interface import Report
+from bluebellbay.transport.pool import ConnectionPool
+from bluebellbay.transport.pool import PooledCall
+from bluebellbay.transport.wire import EntryWire
+from bluebellbay.transport.wire import MalformedRequest
+from bluebellbay.transport.wire import RequestHead
+
+METHOD = b"POST"
+PATH = b"/v1/delegated-query"
+OK = 200
+MOST_CONNECTIONS = 64
+
+
+class _Query(msgspec.Struct, frozen=True, array_like=True):
+    request: RoutedRequest
+    terms: DelegationTerms
+    deadline_s: float
+
+
+class _Answer(msgspec.Struct, frozen=True, array_like=True):
+    records: bytes
+    digests: tuple[str, ...]
+    missing: int
+    error: AnswerKind | None = None
+    ran: bool = False
+
+
+class DelegationWire(EntryWire):
+    """Reads peers' queries and writes their answers."""
+
+    def read_request(self, head: RequestHead, body: bytes) -> RoutedRequest:
+        """Read a peer's query.
+
+        :param head: Its head.
+        :param body: Its whole body.
+        :returns: The caller's request, with the peer's terms.
+        :raises MalformedRequest: If it is no query.
+        """
+        if head.target != PATH:
+            raise MalformedRequest("unknown path")
+        try:
+            query = msgspec.msgpack.decode(body, type=_Query)
+        except ValueError as error:
+            raise MalformedRequest(str(error)) from error
+        return dataclasses.replace(
+            query.request,
+            delegation=query.terms,
+            patience_s=query.deadline_s,
+        )
+
+    def write_answer(self, answer: ExchangeAnswer, *, close: bool) -> bytes:
+        """Write the answer to a peer.
+
+        :param answer: The answer.
+        :param close: Whether the connection is closed after it.
+        :returns: Head and body.
+        """
+        body = msgspec.msgpack.encode(_build_answer(answer))
+        connection = b"Connection: close\r\n" if close else b""
+        return b"HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s" % (
+            connection,
+            len(body),
+            body,
+        )
+
+    def write_refusal(self, status: int) -> bytes:
+        """Write the answer to a query that can't be read.
+
+        :param status: HTTP status.
+        :returns: Head without body; the connection is closed after it.
+        """
+        return (
+            b"HTTP/1.1 %d Refused\r\nConnection: close\r\n"
+            b"Content-Length: 0\r\n\r\n" % status
+        )
+
+
+class DelegationLink:
+    """Sends queries to peers.
+
+    :param reactor: The reactor.
+    :param report: Told each event.
+    """
+
+    def __init__(self, *, reactor: Any, report: Report) -> None:
+        self._reactor = reactor
+        self._report = report
+        self._pools: dict[str, ConnectionPool] = {}
+        self._calls: dict[int, tuple[ConnectionPool, PooledCall]] = {}
+
+    def send(self, command: DelegateQuery) -> None:
+        """Send a query; exactly one event reports how it ended.
+
+        :param command: The query and the peer.
+        """
+        pool = self._find_pool(command.peer)
+        query = _Query(
+            request=command.request,
+            terms=command.terms,
+            deadline_s=command.deadline_s,
+        )
+        call = PooledCall(
+            method=METHOD,
+            path=PATH,
+            build_body=lambda: msgspec.msgpack.encode(query),
+            timeout_s=max(0.001, command.deadline_s),
+            report=lambda end: self._report_end(command.attempt, end),
+        )
+        self._calls[command.attempt] = (pool, call)
+        pool.submit(call)
+
+    def withdraw(self, command: WithdrawDelegation) -> None:
+        """Take a query back if nothing of it has been written.
+
+        :param command: The query.
+        """
+        found = self._calls.get(command.attempt)
+        if found is not None:
+            pool, call = found
+            pool.withdraw(call)
+
+    def cancel(self, command: CancelDelegation) -> None:
+        """Stop a query; its end is still reported.
+
+        :param command: The query.
+        """
+        found = self._calls.get(command.attempt)
+        if found is not None:
+            pool, call = found
+            pool.abort(call)
+
+    def _find_pool(self, peer: NodeEntry) -> ConnectionPool:
+        pool = self._pools.get(peer.address)
+        if pool is None:
+            pool = self._pools[peer.address] = ConnectionPool(
+                reactor=self._reactor,
+                address=peer.address,
+                limit=MOST_CONNECTIONS,
+                report_in_force=lambda limit: None,
+            )
+        return pool
+
+    def _report_end(self, number: int, end: CallEnd) -> None:
+        self._calls.pop(number, None)
+        if not isinstance(end, CallAnswered):
+            self._report(
+                AttemptFailed(attempt=number, sent=end.sent, reason=end.reason)
+            )
+            return
+        answer = _read_answer(end)
+        if answer is None:
+            reason = f"unreadable answer, status {end.status}"
+            self._report(
+                AttemptFailed(attempt=number, sent=True, reason=reason)
+            )
+            return
+        self._report(DelegationAnswered(attempt=number, answer=answer))
+
+
+def _build_answer(answer: ExchangeAnswer) -> _Answer:
+    if isinstance(answer, MergedAnswer):
+        return _Answer(
+            records=answer.records,
+            digests=answer.digests,
+            missing=answer.missing,
+        )
+    if isinstance(answer, ForwardAnswer):
+        raise TypeError("a query over shards has no single replica's answer")
+    return _Answer(
+        records=b"", digests=(), missing=0, error=answer.kind, ran=answer.ran
+    )
+
+
+def _read_answer(end: CallAnswered) -> MergedAnswer | ErrorAnswer | None:
+    if end.status != OK:
+        return None
+    try:
+        answer = msgspec.msgpack.decode(end.body, type=_Answer)
+    except ValueError:
+        return None
+    if answer.error is not None:
+        return ErrorAnswer(exchange=0, kind=answer.error, ran=answer.ran)
+    return MergedAnswer(
+        exchange=0,
+        records=answer.records,
+        digests=answer.digests,
+        missing=answer.missing,
+    )
--- a/packages/bluebellbay/bluebellbay/transport/entry.py
+++ b/packages/bluebellbay/bluebellbay/transport/entry.py
@@ -1,8 +1,8 @@
 """Callers' connections: strict HTTP/1.1, one request at a time."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
 import dataclasses
-import itertools
 from typing import Any
 
 import httptools
@@ -18,9 +18,9 @@
 from bluebellbay.transport._address import parse_address
 from bluebellbay.transport.connection import Header
 from bluebellbay.transport.interface import Report
+from bluebellbay.transport.wire import EntryWire
 from bluebellbay.transport.wire import MalformedRequest
 from bluebellbay.transport.wire import RequestHead
-from bluebellbay.transport.wire import RoutingWire
 
 SWEEP_S = 0.5
 # Requests sent ahead on one connection; more of them end it.
@@ -314,6 +314,7 @@
     :param reactor: The reactor.
     :param listen: ``host:port`` to listen on.
     :param wire: How requests and answers are written.
+    :param numbers: Numbers of exchanges, shared by all listeners of a node.
     :param report: Told each event.
     :param note_rejected: Told the status of each request that can't be read.
     """
@@ -323,7 +324,8 @@
         *,
         reactor: Any,
         listen: str,
-        wire: RoutingWire,
+        wire: EntryWire,
+        numbers: Iterator[int],
         report: Report,
         note_rejected: Callable[[int], None],
     ) -> None:
@@ -336,7 +338,7 @@
         self._reactor = reactor
         self._listen = listen
         self._port: Any = None
-        self._numbers = itertools.count(1)
+        self._numbers = numbers
         self._open: dict[int, CallerConnection] = {}
         self._sweeper = LoopingCall(self._sweep)
         self._sweeper.clock = reactor
--- a/packages/bluebellbay/bluebellbay/transport/follower.py
+++ b/packages/bluebellbay/bluebellbay/transport/follower.py
@@ -10,6 +10,7 @@
 
 from bluebellbay.protocol.exchange import StoreLost
 from bluebellbay.protocol.exchange import StoreRegained
+from bluebellbay.protocol.node import NodeEntry
 from bluebellbay.transport.interface import Report
 from bluebellbay.transport.store import HistoryGone
 from bluebellbay.transport.store import LeaseGone
@@ -50,7 +51,7 @@
     :param reactor: The reactor.
     :param client: Calls to the store.
     :param schema: What its items mean.
-    :param node: Name of this node.
+    :param node: This node.
     :param report: Told each event.
     :param note_fault: Told each exception that is no answer of the store.
     :param rng: Spreads retries of many nodes.
@@ -62,7 +63,7 @@
         reactor: Any,
         client: StoreClient,
         schema: StoreSchema,
-        node: str,
+        node: NodeEntry,
         report: Report,
         note_fault: Fault,
         rng: random.Random,
@@ -136,12 +137,12 @@
     async def _keep_lease(self) -> None:
         pause = _Pause(reactor=self._reactor, rng=self._rng)
         lease: int | None = None
-        key = self._schema.name_node_key(self._node)
+        item = self._schema.write_node(self._node)
         while True:
             try:
                 if lease is None:
                     lease = await self._client.open_lease(LEASE_S)
-                    await self._client.put(key, b"", lease)
+                    await self._client.put(item.key, item.value or b"", lease)
                 else:
                     await self._client.renew_lease(lease)
                 pause.reset()
--- a/packages/bluebellbay/bluebellbay/transport/replica.py
+++ b/packages/bluebellbay/bluebellbay/transport/replica.py
@@ -21,7 +21,7 @@
 from bluebellbay.transport.interface import Report
 from bluebellbay.transport.pool import ConnectionPool
 from bluebellbay.transport.pool import PooledCall
-from bluebellbay.transport.wire import RoutingWire
+from bluebellbay.transport.wire import ReplicaWire
 
 DEFAULT_LIMIT = 1
 # A replica that forgets idle connections must not cost a posting.
@@ -44,7 +44,7 @@
     """
 
     def __init__(
-        self, *, reactor: Any, wire: RoutingWire, report: Report
+        self, *, reactor: Any, wire: ReplicaWire, report: Report
     ) -> None:
         self._reactor = reactor
         self._wire = wire
--- a/packages/bluebellbay/bluebellbay/transport/store.py
+++ b/packages/bluebellbay/bluebellbay/transport/store.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from bluebellbay.protocol.exchange import RoutingEvent
+from bluebellbay.protocol.node import NodeEntry
 
 
 class StoreUnavailable(Exception):
@@ -119,8 +120,8 @@
         """
 
     @abc.abstractmethod
-    def name_node_key(self, node: str) -> str:
-        """Give the key under which a node is counted.
+    def write_node(self, node: NodeEntry) -> StoreItem:
+        """Write the item by which a node is known to the others.
 
-        :param node: Name of the node.
+        :param node: The node.
         """
--- a/packages/bluebellbay/bluebellbay/transport/wire.py
+++ b/packages/bluebellbay/bluebellbay/transport/wire.py
@@ -1,4 +1,4 @@
-"""The abstract base class of a platform's way to write routed requests."""
+"""The abstract base classes of the ways to write routed requests."""
 
 import abc
 import dataclasses
@@ -30,8 +30,8 @@
     headers: tuple[Header, ...]
 
 
-class RoutingWire(abc.ABC):
-    """Translates between HTTP and the typed messages of routed requests."""
+class EntryWire(abc.ABC):
+    """Reads requests and writes their answers."""
 
     @abc.abstractmethod
     def read_request(self, head: RequestHead, body: bytes) -> RoutedRequest:
@@ -43,6 +43,27 @@
         :raises MalformedRequest: If it can't be passed on.
         """
 
+    @abc.abstractmethod
+    def write_answer(self, answer: ExchangeAnswer, *, close: bool) -> bytes:
+        """Write the answer to a caller.
+
+        :param answer: The answer.
+        :param close: Whether the connection is closed after it.
+        :returns: Head and body.
+        """
+
+    @abc.abstractmethod
+    def write_refusal(self, status: int) -> bytes:
+        """Write the answer to a request that can't be read.
+
+        :param status: HTTP status.
+        :returns: Head and body; the connection is closed after it.
+        """
+
+
+class ReplicaWire(abc.ABC):
+    """Writes requests to replicas and reads their answers."""
+
     @abc.abstractmethod
     def write_attempt(self, command: SendAttempt, left_s: float) -> bytes:
         """Write a request to a replica.
@@ -69,20 +90,3 @@
         :param answer: The answer.
         :returns: The reply, or why the request did not run.
         """
-
-    @abc.abstractmethod
-    def write_answer(self, answer: ExchangeAnswer, *, close: bool) -> bytes:
-        """Write the answer to a caller.
-
-        :param answer: The answer.
-        :param close: Whether the connection is closed after it.
-        :returns: Head and body.
-        """
-
-    @abc.abstractmethod
-    def write_refusal(self, status: int) -> bytes:
-        """Write the answer to a request that can't be read.
-
-        :param status: HTTP status.
-        :returns: Head and body; the connection is closed after it.
-        """
--- a/packages/bluebellbayd/bluebellbayd/router.py
+++ b/packages/bluebellbayd/bluebellbayd/router.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import itertools
 import random
 import signal
 from typing import Any
@@ -19,6 +20,8 @@
 from bluebellbay.protocol.event import Event
 from bluebellbay.protocol.event import ShutdownRequested
 from bluebellbay.protocol.exchange import CancelAttempt
+from bluebellbay.protocol.exchange import CancelDelegation
+from bluebellbay.protocol.exchange import DelegateQuery
 from bluebellbay.protocol.exchange import ErrorAnswer
 from bluebellbay.protocol.exchange import ExchangeAbandoned
 from bluebellbay.protocol.exchange import ExchangeAnswer
@@ -30,13 +33,19 @@
 from bluebellbay.protocol.exchange import SetCallerLimits
 from bluebellbay.protocol.exchange import SetConnectionLimit
 from bluebellbay.protocol.exchange import SetDraining
+from bluebellbay.protocol.exchange import WithdrawDelegation
+from bluebellbay.protocol.node import NodeEntry
+from bluebellbay.protocol.route import CallerLimits
 from bluebellbay.transport._address import parse_address
+from bluebellbay.transport.delegation import DelegationLink
+from bluebellbay.transport.delegation import DelegationWire
 from bluebellbay.transport.entry import EntryListener
 from bluebellbay.transport.follower import StoreFollower
 from bluebellbay.transport.replica import ReplicaLink
 from bluebellbay.transport.store import StoreClient
 from bluebellbay.transport.store import StoreSchema
-from bluebellbay.transport.wire import RoutingWire
+from bluebellbay.transport.wire import EntryWire
+from bluebellbay.transport.wire import ReplicaWire
 from bluebellbayd.driver import CoreDriver
 from bluebellbayd.health_page import build_site
 from bluebellbayd.health_page import HealthPage
@@ -49,6 +58,8 @@
 # Time for the last answers to leave.
 FLUSH_S = 0.25
 LOG_CHECK_S = 1.0
+# What a peer may send: a whole request of a caller, and some more.
+PEER_LIMITS = CallerLimits(body_bytes=1_048_576, idle_timeout_s=60.0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -58,11 +69,13 @@
     :param callers: ``host:port`` for callers.
     :param health: ``host:port`` for the balancer's health checks.
     :param metrics: ``host:port`` for metrics.
+    :param peers: ``host:port`` for the other nodes.
     """
 
     callers: str
     health: str
     metrics: str
+    peers: str
 
 
 class RouterDaemon:
@@ -71,7 +84,8 @@
     :param reactor: The reactor; its clock must be steady.
     :param addresses: Where it listens.
     :param rules: What it must keep to.
-    :param wire: How routed requests are written.
+    :param entry_wire: How callers' requests and answers are written.
+    :param replica_wire: How requests to replicas are written.
     :param store: Calls to the platform's store.
     :param schema: What the store's items mean.
     :param rng: The only source of randomness.
@@ -84,7 +98,8 @@
         reactor: Any,
         addresses: RouterAddresses,
         rules: RouterRules,
-        wire: RoutingWire,
+        entry_wire: EntryWire,
+        replica_wire: ReplicaWire,
         store: StoreClient,
         schema: StoreSchema,
         rng: random.Random,
@@ -110,21 +125,37 @@
             carry_out=lambda command: self._actions[type(command)](command),
             observe=self.metrics.count_core_time,
         )
+        numbers = itertools.count(1)
         self._entry = EntryListener(
             reactor=reactor,
             listen=addresses.callers,
-            wire=wire,
+            wire=entry_wire,
+            numbers=numbers,
             report=self.feed,
             note_rejected=self._note_rejected,
         )
+        self._peer_entry = EntryListener(
+            reactor=reactor,
+            listen=addresses.peers,
+            wire=DelegationWire(),
+            numbers=numbers,
+            report=self.feed,
+            note_rejected=self._note_rejected,
+        )
+        self._peer_entry.limits = PEER_LIMITS
         self._replicas = ReplicaLink(
-            reactor=reactor, wire=wire, report=self.feed
+            reactor=reactor, wire=replica_wire, report=self.feed
         )
+        self._peers = DelegationLink(reactor=reactor, report=self.feed)
         self._follower = StoreFollower(
             reactor=reactor,
             client=store,
             schema=schema,
-            node=rules.node,
+            node=NodeEntry(
+                name=rules.node,
+                address=addresses.peers,
+                failure_domain=rules.failure_domain,
+            ),
             report=self.feed,
             note_fault=self._note_fault,
             rng=rng,
@@ -141,6 +172,7 @@
     def start(self) -> None:
         """Listen, and begin to follow the store."""
         self._entry.start()
+        self._peer_entry.start()
         self._listen(self._addresses.health, self._health)
         self._listen(
             self._addresses.metrics, MetricsPage(read=self._read_metrics)
@@ -181,7 +213,10 @@
             MergedAnswer: self._answer,
             ErrorAnswer: self._answer,
             SetCallerLimits: self._set_limits,
-            SetDraining: lambda command: self._entry.drain(),
+            SetDraining: lambda command: self._drain(),
+            DelegateQuery: self._peers.send,
+            WithdrawDelegation: self._peers.withdraw,
+            CancelDelegation: self._peers.cancel,
             ReportHealth: self._report_health,
             LogDecision: self._log_decision,
             StopProcess: lambda command: self._stop(),
@@ -207,11 +242,16 @@
         if arrived_at is not None:
             seconds = self._reactor.seconds() - arrived_at
             self.metrics.observe_answer(answer, seconds)
-        self._entry.answer(answer)
+        for entry in (self._entry, self._peer_entry):
+            entry.answer(answer)
 
     def _set_limits(self, command: SetCallerLimits) -> None:
         self._entry.limits = command.limits
 
+    def _drain(self) -> None:
+        self._entry.drain()
+        self._peer_entry.drain()
+
     def _report_health(self, command: ReportHealth) -> None:
         self._health.ready = command.healthy
 
@@ -257,6 +297,7 @@
         self._stopping = True
         self._driver.stop()
         self._entry.stop()
+        self._peer_entry.stop()
         self._follower.stop()
         self._reactor.callLater(FLUSH_S, self._end)
 
