--- /dev/null
+++ b/features/replicas.feature
@@ -0,0 +1,109 @@
+Feature: Replicas get requests while the store says that they serve
+
+  Scenario: A draining replica gets no new request
+    Given a safe route to 2 replicas
+    When replica "r1" drains
+    And 10 requests arrive
+    Then none of them went to "r1"
+
+  Scenario: An entry of an earlier start changes nothing
+    Given a safe route to 1 replica
+    When replica "r1" drains
+    And an older entry of "r1" says that it is ready
+    And a request arrives
+    Then it is answered "no replica" as not run
+
+  Scenario: A new start under the same identity is another replica
+    Given a safe route to 1 replica
+    When replica "r1" drains
+    And "r1" starts anew at another address
+    And a request arrives
+    Then it was sent to the new address
+
+  Scenario: A replica whose address another one has gets no more requests
+    Given a posting route to 1 replica
+    When a request arrives
+    And its attempt is refused as it reached another replica
+    And 0.1 s pass
+    Then it is answered "refused" as not run
+    And the next request is answered "no replica" as not run
+
+  Scenario: A replica whose entry is gone is a last resort, then dropped
+    Given a safe route to 2 replicas
+    When the entry of "r1" is gone
+    And 10 requests arrive
+    Then none of them went to "r1"
+    When 2.5 s pass
+    Then 1 replica is known
+
+  Scenario: Entries that lapsed with the store away have two seconds
+    Given a safe route to 2 replicas
+    When the store is lost
+    And the entry of "r1" is gone
+    And 20 s pass
+    Then 2 replicas are known
+    When the store is regained
+    And 2 s pass
+    Then 2 replicas are known
+    When "r1" is written again
+    And 5 s pass
+    Then 2 replicas are known
+
+  Scenario: Entries still missing after that are gone
+    Given a safe route to 2 replicas
+    When the store is lost
+    And the entry of "r1" is gone
+    And the store is regained
+    And 2.5 s pass
+    Then 1 replica is known
+
+  Scenario: A silent replica is avoided while it is silent
+    Given a safe route to 2 replicas with known response times
+    When a request to one replica stays without an answer
+    And 10 requests arrive
+    Then none of them went to that replica
+
+  Scenario: A replica that refuses is avoided
+    Given a safe route to 2 replicas with known response times
+    When one replica refuses each attempt of 5 requests
+    And 10 requests arrive
+    Then none of them went to that replica
+
+  Scenario: Connections are shared by the nodes that are counted
+    Given a safe route to 1 replica that accepts 26 connections
+    When 6 nodes besides this one are listed
+    Then this node may open 3 connections to it
+    When 3 of these nodes are gone
+    Then this node may open 3 connections to it
+
+  Scenario: Shards without a near replica are left to a peer near them
+    Given a query route over 6 shards, 4 of them only in "zone-b"
+    And a peer in "zone-b"
+    When a request arrives
+    Then the peer is asked for 4 shards and 2 are asked from here
+    When the peer answers with 3 shards and the others reply
+    Then it lists 5 digests and misses 1 shards
+
+  Scenario: A peer that could not be reached costs no shard
+    Given a query route over 6 shards, 4 of them only in "zone-b"
+    And a peer in "zone-b"
+    When a request arrives
+    And the peer can't be reached
+    And each shard replies with records of its own
+    Then it lists 6 digests and misses 0 shards
+
+  Scenario: A peer that has failed is not made up for by more attempts
+    Given a query route over 6 shards, 4 of them only in "zone-b"
+    And a peer in "zone-b"
+    When a request arrives
+    And the peer breaks off
+    Then it is answered "too few shards" as maybe run
+    And the next request is sent to no peer
+
+  Scenario: A node asked by a peer refuses what it can't answer for
+    Given a query route over 4 shards
+    When a peer asks for 2 shards under a newer configuration
+    Then it is answered "refused" as not run
+    When the node is asked to end
+    And a peer asks for 2 shards
+    Then it is answered "refused" as not run
--- /dev/null
+++ b/features/steps/routing_world.py
@@ -0,0 +1,239 @@
+"""A routing core with a hand-moved clock, and what came out of it."""
+
+import dataclasses
+import random
+
+from bluebellbay.coordination.routing.core import RoutingCore
+from bluebellbay.coordination.routing.rules import RetryRules
+from bluebellbay.coordination.routing.rules import RouterRules
+from bluebellbay.protocol.event import TimePassed
+from bluebellbay.protocol.exchange import AttemptFailed
+from bluebellbay.protocol.exchange import AttemptRefused
+from bluebellbay.protocol.exchange import AttemptReplied
+from bluebellbay.protocol.exchange import CancelAttempt
+from bluebellbay.protocol.exchange import ConfigurationFound
+from bluebellbay.protocol.exchange import DelegateQuery
+from bluebellbay.protocol.exchange import ErrorAnswer
+from bluebellbay.protocol.exchange import ExchangeOpened
+from bluebellbay.protocol.exchange import ForwardAnswer
+from bluebellbay.protocol.exchange import MergedAnswer
+from bluebellbay.protocol.exchange import RefusalKind
+from bluebellbay.protocol.exchange import ReplicaReply
+from bluebellbay.protocol.exchange import ReplicaSeen
+from bluebellbay.protocol.exchange import RoutedRequest
+from bluebellbay.protocol.exchange import SendAttempt
+from bluebellbay.protocol.replica import ReplicaEntry
+from bluebellbay.protocol.route import CallerLimits
+from bluebellbay.protocol.route import Repeatability
+from bluebellbay.protocol.route import Route
+from bluebellbay.protocol.route import RouteConfiguration
+from bluebellbay.protocol.route import ScatterRule
+from bluebellbay.protocol.route import ServiceLimits
+from bluebellbay.protocol.route import WeightedService
+
+HOST = "calls.example"
+DOMAIN = "zone-a"
+ANSWERS = (ForwardAnswer, MergedAnswer, ErrorAnswer)
+
+
+def build_route(
+    name,
+    *,
+    service=None,
+    shards=(),
+    idempotent=True,
+    attempts=2,
+    least=0.75,
+    most_records=5,
+    timeout_s=1.0,
+    objective_s=0.1,
+    split=(),
+):
+    scatter = None
+    if shards:
+        scatter = ScatterRule(
+            shards=tuple(shards),
+            most_records=most_records,
+            least_coverage=least,
+        )
+    services = tuple(
+        WeightedService(service=item, weight=weight) for item, weight in split
+    )
+    if service is not None:
+        services = (WeightedService(service=service, weight=1.0),)
+    return Route(
+        name=name,
+        host=HOST,
+        prefix=f"/{name}/",
+        repeatability=(
+            Repeatability.IDEMPOTENT
+            if idempotent
+            else Repeatability.NOT_IDEMPOTENT
+        ),
+        timeout_s=timeout_s,
+        objective_s=objective_s,
+        most_attempts=attempts,
+        rank=1,
+        services=services,
+        scatter=scatter,
+    )
+
+
+def build_configuration(version, *routes, connections=26):
+    names = {share.service for route in routes for share in route.services}
+    for route in routes:
+        if route.scatter is not None:
+            names.update(route.scatter.shards)
+    return RouteConfiguration(
+        version=version,
+        routes=tuple(routes),
+        services={
+            name: ServiceLimits(name=name, connections=connections)
+            for name in names
+        },
+        limits=CallerLimits(),
+    )
+
+
+def build_replica(replica_id, service, **fields):
+    values = {
+        "replica_id": replica_id,
+        "service": service,
+        "address": f"10.0.0.1:{9000 + sum(map(ord, replica_id)) % 900}",
+        "failure_domain": DOMAIN,
+        "slots": 2,
+        "draining": False,
+        "started_ms": 1000,
+        "sequence": 1,
+    }
+    return ReplicaEntry(**{**values, **fields})
+
+
+def build_request(
+    route, *, number=1, patience_s=1.0, method=b"GET", delegation=None
+):
+    return RoutedRequest(
+        request_id=f"request-{number}",
+        method=method,
+        target=f"/{route}/{number}".encode(),
+        host=HOST,
+        forwarded=b"",
+        patience_s=patience_s,
+        delegation=delegation,
+    )
+
+
+def build_reply(digest="digest", *, status=200, body=b""):
+    return ReplicaReply(status=status, digest=digest, forwarded=b"", body=body)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Arrival:
+    """A request that was sent to a replica."""
+
+    command: SendAttempt
+    sent_at: float
+    ended: bool = False
+    cancelled: bool = False
+
+
+class RoutingWorld:
+    """Steps a core and keeps its commands."""
+
+    def __init__(self, *, seed=1, nodes=1, slack=58.0, node="node-1"):
+        self.rules = RouterRules(
+            node=node,
+            failure_domain=DOMAIN,
+            first_start=True,
+            nodes=nodes,
+            retries=RetryRules(share=0.2, slack=slack, window_s=10.0),
+        )
+        self.core = RoutingCore(rules=self.rules, rng=random.Random(seed))
+        self.now = 100.0
+        self.commands = []
+        self.arrivals = {}
+        self.delegations = {}
+        self.answers = {}
+        self.arrived_at = {}
+
+    def feed(self, event):
+        commands = self.core.step(event, self.now)
+        for command in commands:
+            self._keep(command)
+        return commands
+
+    def configure(self, version, *routes):
+        return self.feed(
+            ConfigurationFound(
+                configuration=build_configuration(version, *routes)
+            )
+        )
+
+    def see(self, *entries):
+        for entry in entries:
+            self.feed(ReplicaSeen(entry=entry))
+
+    def open(self, exchange, route, *, patience_s=1.0, age_s=0.0, **fields):
+        self.arrived_at[exchange] = self.now
+        request = build_request(
+            route, number=exchange, patience_s=patience_s, **fields
+        )
+        return self.feed(
+            ExchangeOpened(exchange=exchange, request=request, age_s=age_s)
+        )
+
+    def reply(self, attempt, *, digest=None, status=200, body=b""):
+        self.arrivals[attempt].ended = True
+        digest = digest if digest is not None else f"digest-{attempt}"
+        reply = build_reply(digest, status=status, body=body)
+        return self.feed(AttemptReplied(attempt=attempt, reply=reply))
+
+    def refuse(self, attempt, kind=RefusalKind.OVERLOADED):
+        self.arrivals[attempt].ended = True
+        return self.feed(AttemptRefused(attempt=attempt, kind=kind))
+
+    def fail(self, attempt, *, sent=True):
+        self.arrivals[attempt].ended = True
+        return self.feed(
+            AttemptFailed(attempt=attempt, sent=sent, reason="reset")
+        )
+
+    def advance(self, seconds):
+        until = self.now + seconds
+        while True:
+            wake_at = self.core.next_wake()
+            if wake_at is None or wake_at > until:
+                break
+            self.now = max(self.now, wake_at)
+            self.feed(TimePassed())
+        self.now = until
+
+    def list_open(self):
+        return [
+            number
+            for number, arrival in self.arrivals.items()
+            if not arrival.ended
+        ]
+
+    def list_sent(self, exchange):
+        request_id = f"request-{exchange}"
+        return [
+            arrival.command
+            for arrival in self.arrivals.values()
+            if arrival.command.request.request_id == request_id
+        ]
+
+    def _keep(self, command):
+        self.commands.append(command)
+        if isinstance(command, SendAttempt):
+            self.arrivals[command.attempt] = Arrival(
+                command=command, sent_at=self.now
+            )
+        elif isinstance(command, CancelAttempt):
+            if command.attempt in self.arrivals:
+                self.arrivals[command.attempt].cancelled = True
+        elif isinstance(command, DelegateQuery):
+            self.delegations[command.attempt] = command
+        elif isinstance(command, ANSWERS):
+            assert command.exchange not in self.answers, "answered twice"
+            self.answers[command.exchange] = command
