Hand callers on when cut off, and let in what replicas can serve in time

Now a doubt about other domains makes a node probe its peers there; if neither they nor any replica answers it refuses at once and reports not ready, unless it holds enough shards itself. Queries that find long queues lower the number let in (additive increase, multiplicative decrease), most urgent first.

--- a/packages/bluebellbay/bluebellbay/coordination/routing/context.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/context.py
@@ -4,10 +4,10 @@
 from typing import TYPE_CHECKING
 
 from bluebellbay.coordination.base_part import Step
+from bluebellbay.coordination.routing.admission import AdmissionTable
 from bluebellbay.coordination.routing.attempt import Attempt
 from bluebellbay.coordination.routing.attempt import Overdue
 from bluebellbay.coordination.routing.delegation import Assignment
-from bluebellbay.coordination.routing.delegation import AVOID_S
 from bluebellbay.coordination.routing.delegation import Delegation
 from bluebellbay.coordination.routing.delegation import PeerChooser
 from bluebellbay.coordination.routing.leg import Leg
@@ -44,6 +44,7 @@
 
     :param state: What the node knows.
     :param rules: What the node must keep to.
+    :ivar doubt: Whether other failure domains may be out of reach.
     """
 
     def __init__(self, *, state: RouterState, rules: RouterRules) -> None:
@@ -52,8 +53,10 @@
         self.budgets = RetryBudgetTable(rules=rules, state=state)
         self.timers = TimerQueue()
         self.peers = PeerChooser(state=state)
+        self.admission = AdmissionTable()
         self.attempts: dict[int, Attempt] = {}
         self.delegations: dict[int, Delegation] = {}
+        self.doubt = False
         self._steps: list[Step] = []
         self._sent = 0
 
@@ -153,7 +156,7 @@
         seconds = now - attempt.sent_at
         record = attempt.record
         record.find_latency(route).add(seconds, now)
-        record.heard_at = now
+        self._note_heard(record, now)
         record.refusals.add(0.0, now)
         record.failures = 0
         record.ejected_until = 0.0
@@ -165,7 +168,7 @@
         :param attempt: The attempt.
         :param now: Present time in seconds.
         """
-        attempt.record.heard_at = now
+        self._note_heard(attempt.record, now)
         attempt.record.refusals.add(1.0, now)
 
     def note_failure(self, attempt: Attempt, reason: str, now: float) -> None:
@@ -182,6 +185,8 @@
             return
         eject_s = min(LONGEST_EJECTION_S, FIRST_EJECTION_S * 2**surplus)
         record.ejected_until = now + eject_s
+        if self.state.is_far(record):
+            self.doubt = True
         self.log(
             "Set a replica aside.",
             attempt.leg.run.request.request_id,
@@ -203,7 +208,9 @@
         if now >= attempt.due_at:
             window = attempt.record.find_latency(attempt.leg.run.route.name)
             window.add_unanswered(waited_s, now)
-            if waited_s > SILENCE_FACTOR * (attempt.due_at - attempt.sent_at):
+            usual_s = attempt.due_at - attempt.sent_at
+            heard = attempt.record.heard_at > attempt.sent_at
+            if waited_s > SILENCE_FACTOR * usual_s and not heard:
                 self.note_failure(attempt, "silent", now)
         self._steps.append(CancelAttempt(attempt=attempt.number))
 
@@ -275,24 +282,40 @@
         return delegation
 
     def avoid(self, delegation: Delegation, reason: str, now: float) -> None:
-        """Give a peer no queries for a while.
+        """Give a peer no queries until it answers a probe.
 
         :param delegation: The delegation that went wrong.
         :param reason: One short phrase.
         :param now: Present time in seconds.
         """
         peer = delegation.peer
-        if peer.avoided_until > now:
+        peer.failed_at = now
+        self.doubt = True
+        if peer.avoided_since is not None:
             return
-        peer.avoided_until = now + AVOID_S
+        peer.avoided_since = now
         self.log(
             "Avoided a peer.",
             delegation.run.request.request_id,
             peer=peer.entry.name,
             reason=reason,
-            seconds=AVOID_S,
         )
 
+    def give_up_peer(self, name: str, now: float) -> None:
+        """Wait no longer for the queries that a peer runs.
+
+        :param name: Name of the peer.
+        :param now: Present time in seconds.
+        """
+        for delegation in tuple(self.delegations.values()):
+            if delegation.peer.entry.name == name:
+                delegation.run.give_up_peer(delegation, now)
+
+    def _note_heard(self, record: ReplicaRecord, now: float) -> None:
+        record.heard_at = now
+        if self.state.is_far(record):
+            self.state.far_heard_at = now
+
 
 class Unwanted(Timed):
     """Cancels an attempt that outlives its request.
--- a/packages/bluebellbay/bluebellbay/coordination/routing/core.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/core.py
@@ -5,6 +5,7 @@
 from bluebellbay.coordination.facade import Facade
 from bluebellbay.coordination.routing.context import RoutingContext
 from bluebellbay.coordination.routing.exchange import ExchangePart
+from bluebellbay.coordination.routing.isolation import IsolationPart
 from bluebellbay.coordination.routing.lifecycle import LifecyclePart
 from bluebellbay.coordination.routing.registry import RegistryPart
 from bluebellbay.coordination.routing.rules import RouterRules
@@ -28,6 +29,7 @@
             parts=(
                 RegistryPart(context=self.context, rules=rules),
                 exchanges,
+                IsolationPart(context=self.context, rules=rules),
                 LifecyclePart(
                     context=self.context, rules=rules, exchanges=exchanges
                 ),
--- a/packages/bluebellbay/bluebellbay/coordination/routing/delegation.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/delegation.py
@@ -19,9 +19,6 @@
 LEAST_SHARDS = 3
 # Time in which a connection to a sound peer is opened.
 CONNECT_S = 0.015
-# Silence after the objective that tells of a peer that is frozen or cut off.
-SILENCE_S = 0.1
-AVOID_S = 3.0
 # The way to the peer and back.
 PEER_WAYS_S = 0.004
 
@@ -56,7 +53,7 @@
         :param now: Present time in seconds.
         :returns: What each peer is to query; the rest is queried from here.
         """
-        peers = self._list_peers(now)
+        peers = self._list_peers()
         if not peers:
             return ()
         far = {
@@ -79,14 +76,14 @@
                 del far[shard]
         return tuple(assignments)
 
-    def _list_peers(self, now: float) -> dict[str, list[PeerRecord]]:
+    def _list_peers(self) -> dict[str, list[PeerRecord]]:
         peers: dict[str, list[PeerRecord]] = {}
         for peer in self._state.peers.values():
             domain = peer.entry.failure_domain
             if (
                 peer.entry.address
                 and peer.gone_at is None
-                and peer.avoided_until <= now
+                and peer.avoided_since is None
                 and domain != self._state.failure_domain
             ):
                 peers.setdefault(domain, []).append(peer)
@@ -140,7 +137,7 @@
         self.shards = assignment.shards
         self.over = False
         self._connect_until = now + CONNECT_S
-        self._silent_at = run.objective_at + SILENCE_S
+        self._silent_at = max(now, run.objective_at)
         self._withdrawn = False
 
     @property
@@ -167,7 +164,7 @@
         return (self._connect_until, self._silent_at)
 
     def wake(self, now: float) -> None:
-        """Withdraw what could not be sent, and avoid a silent peer.
+        """Withdraw what could not be sent, and have a silent peer probed.
 
         :param now: Present time in seconds.
         """
@@ -175,5 +172,4 @@
             self._withdrawn = True
             self.run.context.withdraw(self)
         if now >= self._silent_at:
-            self.run.context.avoid(self, "silent", now)
-            self.run.give_up_peer(self, now)
+            self.run.context.doubt = True
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/isolation.py
@@ -0,0 +1,117 @@
+"""Finds out whether this node is cut off from the other failure domains."""
+
+from collections.abc import Iterable
+
+from bluebellbay.coordination.base_part import Step
+from bluebellbay.coordination.routing.context import RoutingContext
+from bluebellbay.coordination.routing.part import RoutingPart
+from bluebellbay.coordination.routing.rules import RouterRules
+from bluebellbay.protocol.event import Event
+from bluebellbay.protocol.event import TimePassed
+from bluebellbay.protocol.exchange import PeerProbed
+from bluebellbay.protocol.exchange import ProbePeer
+from bluebellbay.state.peer import PeerRecord
+
+PROBE_TIMEOUT_S = 0.3
+PROBE_GAP_S = 0.5
+
+
+class IsolationPart(RoutingPart):
+    """Probes peers in other domains once there is a doubt about them.
+
+    The node is cut off if no peer in another domain answers and no replica
+    there does. It then refuses at once what it can't serve alone, and the
+    balancer sends callers to nodes that can.
+
+    :param context: What the requests of this node share.
+    :param rules: What the node must keep to.
+    """
+
+    def __init__(self, *, context: RoutingContext, rules: RouterRules) -> None:
+        super().__init__(context=context, rules=rules)
+        self._probing: set[str] = set()
+        self._next_at: float | None = None
+
+    @property
+    def handles(self) -> tuple[type, ...]:
+        """The kinds of event that the part wants to be told."""
+        return (PeerProbed, TimePassed)
+
+    def step(self, event: Event, now: float) -> Iterable[Step]:
+        """Take one event.
+
+        :param event: The event.
+        :param now: Present time in seconds.
+        :returns: Commands, in order.
+        """
+        if isinstance(event, PeerProbed):
+            self._take_probe(event, now)
+        if self.context.doubt:
+            self.context.doubt = False
+            self._probe(self._list_far(), now)
+        elif self._next_at is not None and now >= self._next_at:
+            self._probe(self._list_avoided(), now)
+        self._judge(now)
+        return self.context.drain()
+
+    def next_wake(self) -> float | None:
+        """Name the time at which ``TimePassed`` is due."""
+        return self._next_at
+
+    def _take_probe(self, event: PeerProbed, now: float) -> None:
+        self._probing.discard(event.name)
+        peer = self.state.peers.get(event.name)
+        if peer is None:
+            return
+        if event.answered and peer.avoided_since is not None:
+            peer.avoided_since = None
+            self.context.log("Regained a peer.", peer=event.name)
+        if event.answered:
+            return
+        peer.failed_at = now
+        if peer.avoided_since is None:
+            peer.avoided_since = now
+            self.context.log("Lost a peer.", peer=event.name)
+        self.context.give_up_peer(event.name, now)
+
+    def _probe(self, peers: list[PeerRecord], now: float) -> None:
+        for peer in peers:
+            if peer.entry.name in self._probing:
+                continue
+            self._probing.add(peer.entry.name)
+            self.context.emit(
+                ProbePeer(peer=peer.entry, timeout_s=PROBE_TIMEOUT_S)
+            )
+        self._next_at = now + PROBE_GAP_S if peers else None
+
+    def _list_far(self) -> list[PeerRecord]:
+        return [
+            peer
+            for peer in self.state.peers.values()
+            if peer.entry.address
+            and peer.gone_at is None
+            and peer.entry.failure_domain != self.state.failure_domain
+        ]
+
+    def _list_avoided(self) -> list[PeerRecord]:
+        return [
+            peer for peer in self._list_far() if peer.avoided_since is not None
+        ]
+
+    def _judge(self, now: float) -> None:
+        peers = self._list_far()
+        isolated = bool(peers) and all(
+            peer.avoided_since is not None
+            and peer.failed_at > self.state.far_heard_at
+            for peer in peers
+        )
+        if isolated == self.state.isolated:
+            return
+        self.state.isolated = isolated
+        self.context.log(
+            "Cut off from the other failure domains."
+            if isolated
+            else "Reaches other failure domains again.",
+            peers=len(peers),
+            heard_s_ago=round(now - self.state.far_heard_at, 3),
+        )
--- a/packages/bluebellbay/bluebellbay/coordination/routing/lifecycle.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/lifecycle.py
@@ -5,6 +5,7 @@
 from bluebellbay.coordination.base_part import Step
 from bluebellbay.coordination.routing.context import RoutingContext
 from bluebellbay.coordination.routing.exchange import ExchangePart
+from bluebellbay.coordination.routing.objective import count_least
 from bluebellbay.coordination.routing.part import RoutingPart
 from bluebellbay.coordination.routing.rules import RouterRules
 from bluebellbay.protocol.command import ReportHealth
@@ -13,10 +14,11 @@
 from bluebellbay.protocol.event import ShutdownRequested
 from bluebellbay.protocol.event import TimePassed
 from bluebellbay.protocol.exchange import ConfigurationFound
+from bluebellbay.protocol.exchange import PeerProbed
 from bluebellbay.protocol.exchange import ReplicaSeen
 from bluebellbay.protocol.exchange import ReplicasListed
 from bluebellbay.protocol.exchange import ReplicaUnlisted
-from bluebellbay.protocol.exchange import SetDraining
+from bluebellbay.protocol.exchange import SetKeepAlive
 
 # The balancer takes a node out after two health checks, a second apart.
 BALANCER_LAG_S = 3.0
@@ -54,6 +56,7 @@
             ReplicasListed,
             ReplicaSeen,
             ReplicaUnlisted,
+            PeerProbed,
             ShutdownRequested,
             TimePassed,
         )
@@ -81,11 +84,13 @@
             not self.state.draining
             and self.state.routes.configuration is not None
             and len(self.state.replicas) > 0
+            and not (self.state.isolated and self._lacks_shards())
         )
         if ready == self._ready:
             return
         self._ready = ready
         self.context.emit(ReportHealth(healthy=ready))
+        self.context.emit(SetKeepAlive(allowed=ready))
         self.context.log(
             "Ready." if ready else "Not ready.",
             version=self.state.routes.version,
@@ -93,13 +98,28 @@
             draining=self.state.draining,
         )
 
+    def _lacks_shards(self) -> bool:
+        configuration = self.state.routes.configuration
+        if configuration is None:
+            return True
+        for route in configuration.routes:
+            if route.scatter is None:
+                continue
+            shards = route.scatter.shards
+            usable = sum(
+                bool(self.context.selector.count_usable(shard))
+                for shard in shards
+            )
+            if usable < count_least(len(shards), route.scatter.least_coverage):
+                return True
+        return False
+
     def _begin_shutdown(self, now: float) -> None:
         if self._asked_at is not None:
             return
         self._asked_at = now
         self._check_at = now + BALANCER_LAG_S
         self.state.draining = True
-        self.context.emit(SetDraining())
         self.context.log(
             "Shutting down.", open_requests=self._exchanges.open_runs
         )
--- a/packages/bluebellbay/bluebellbay/coordination/routing/registry.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/registry.py
@@ -201,7 +201,7 @@
             self.state.peers[node.name] = PeerRecord(entry=node)
             return
         if peer.entry != node:
-            peer.avoided_until = 0.0
+            peer.avoided_since = None
         peer.entry = node
         peer.gone_at = None
 
--- a/packages/bluebellbay/bluebellbay/coordination/routing/run.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/run.py
@@ -118,7 +118,7 @@
         :param why: What decided it, for the log.
         """
         self.finished = True
-        self.stop_legs(now, abandoned=False)
+        self.stop_legs(now, abandoned=isinstance(answer, ErrorAnswer))
         self.context.emit(answer)
         self._log("Answered.", now, **why)
 
--- a/packages/bluebellbay/bluebellbay/coordination/routing/scatter.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/scatter.py
@@ -1,8 +1,10 @@
 """A query over shards: one leg a shard, one merged answer."""
 
+from bluebellbay.coordination.routing.admission import AdmissionLimit
 from bluebellbay.coordination.routing.context import RoutingContext
 from bluebellbay.coordination.routing.delegation import Delegation
 from bluebellbay.coordination.routing.leg import Leg
+from bluebellbay.coordination.routing.leg import LossReason
 from bluebellbay.coordination.routing.objective import count_least
 from bluebellbay.coordination.routing.objective import judge
 from bluebellbay.coordination.routing.objective import Verdict
@@ -53,7 +55,9 @@
         self._merged: list[MergedAnswer] = []
         self._replied = 0
         self._lost = 0
+        self._lost_by_peers = 0
         self._ran_elsewhere = False
+        self._limit: AdmissionLimit | None = None
         terms = opened.request.delegation
         self._terms = terms
         if terms is not None:
@@ -73,6 +77,14 @@
             return
         if not self._has_enough(now):
             return
+        if self._terms is None:
+            self._limit = self.context.admission.find(self._rule.shards)
+            if not self._limit.admit(self.route.rank):
+                limit, self._limit = self._limit, None
+                self.fail(
+                    AnswerKind.OVERLOADED, now, limit=round(limit.limit, 1)
+                )
+                return
         self.context.timers.add(self.deadline, self)
         if self.objective_at < self.deadline:
             self.context.timers.add(self.objective_at, self)
@@ -92,6 +104,7 @@
 
         :param now: Present time in seconds.
         """
+        self._note_queues(now)
         self._decide(now)
         if not self.finished and now >= self.deadline:
             self.fail(AnswerKind.TIMED_OUT, now, shards=self._replied)
@@ -136,6 +149,7 @@
         self._merged.append(answer)
         self._replied += len(answer.digests)
         self._lost += answer.missing
+        self._lost_by_peers += answer.missing
         self._decide(now)
 
     def lose_peer(
@@ -167,6 +181,11 @@
         :param abandoned: Whether the caller has left.
         """
         super().stop_legs(now, abandoned=abandoned)
+        limit, self._limit = self._limit, None
+        if limit is not None:
+            limit.release()
+            if not abandoned and now < self.objective_at:
+                limit.note_in_time()
         for delegation in self._delegations.values():
             self.context.cancel_delegation(delegation)
             self._ran_elsewhere = True
@@ -227,8 +246,20 @@
         if verdict is Verdict.ANSWER:
             self._merge(now)
         elif verdict is Verdict.GIVE_UP:
+            self._note_queues(now)
             self.fail(AnswerKind.TOO_FEW_SHARDS, now, shards=replied)
 
+    def _note_queues(self, now: float) -> None:
+        if self._limit is None or self._replied >= self._least:
+            return
+        waiting = self._lost_by_peers + sum(
+            leg.is_hopeful(now)
+            or (leg.closed and leg.reason is LossReason.REFUSED)
+            for leg in self._legs
+        )
+        if waiting > len(self._rule.shards) - self._least:
+            self._limit.note_queues(now)
+
     def _hopes(self, now: float) -> bool:
         return bool(self._delegations) or any(
             leg.is_hopeful(now) for leg in self._legs
--- a/packages/bluebellbay/bluebellbay/coordination/routing/selection.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/selection.py
@@ -42,13 +42,13 @@
         return found
 
     def count_usable(self, service: str) -> int:
-        """Count the replicas that may get requests.
+        """Count the replicas that may get requests and can be reached.
 
         :param service: Name of the service.
-        :returns: How many don't drain.
+        :returns: How many there are.
         """
         return sum(
-            not record.entry.draining
+            self._state.is_usable(record)
             for record in self._state.replicas.list_service(service)
         )
 
@@ -66,7 +66,9 @@
         best = None
         best_s = math.inf
         for record in self._state.replicas.list_service(service):
-            if record.entry.draining or record.entry.replica_id in tried:
+            if not self._state.is_usable(record):
+                continue
+            if record.entry.replica_id in tried:
                 continue
             cost_s = self._estimate(record, route, now)
             if cost_s < best_s:
@@ -83,7 +85,7 @@
         waiting = len(record.in_flight) + 1 - entry.slots
         if waiting > 0:
             time_s *= 1 + waiting / entry.slots
-        if entry.failure_domain != self._state.failure_domain:
+        if self._state.is_far(record):
             time_s += CROSS_DOMAIN_S
         time_s += REFUSAL_S * record.refusals.read(now)
         if record.is_overdue(now):
--- a/packages/bluebellbay/bluebellbay/protocol/exchange.py
+++ b/packages/bluebellbay/bluebellbay/protocol/exchange.py
@@ -219,6 +219,18 @@
     """The store answers again."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PeerProbed:
+    """A peer was asked whether it can be reached.
+
+    :param name: Name of the peer.
+    :param answered: Whether it answered in time.
+    """
+
+    name: str
+    answered: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class NodesListed:
     """The nodes that hold a lease in the store were read.
@@ -402,8 +414,25 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class SetDraining:
-    """Tell callers to use other connections, and close idle ones."""
+class SetKeepAlive:
+    """Say whether callers may use their connections again.
+
+    :param allowed: False to close each one after its next answer.
+    """
+
+    allowed: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ProbePeer:
+    """Ask a peer whether it can be reached; one event tells.
+
+    :param peer: The peer.
+    :param timeout_s: Seconds after which it can't.
+    """
+
+    peer: NodeEntry
+    timeout_s: float
 
 
 RoutingEvent = (
@@ -419,6 +448,7 @@
     | StoreLost
     | StoreRegained
     | DelegationAnswered
+    | PeerProbed
     | NodesListed
     | NodeSeen
     | NodeUnlisted
@@ -436,5 +466,6 @@
     | SetConnectionLimit
     | ForgetReplica
     | SetCallerLimits
-    | SetDraining
+    | SetKeepAlive
+    | ProbePeer
 )
--- a/packages/bluebellbay/bluebellbay/state/peer.py
+++ b/packages/bluebellbay/bluebellbay/state/peer.py
@@ -11,11 +11,14 @@
 
     :param entry: Its entry, as last read.
     :param in_flight: Queries under way there.
-    :param avoided_until: Time in seconds until which it gets none.
+    :param avoided_since: Time in seconds since which it gets none, as it
+        failed; none if it is sound.
+    :param failed_at: Time in seconds when it failed last.
     :param gone_at: Time in seconds when its lease ended; none while it lasts.
     """
 
     entry: NodeEntry
     in_flight: int = 0
-    avoided_until: float = 0.0
+    avoided_since: float | None = None
+    failed_at: float = 0.0
     gone_at: float | None = None
--- a/packages/bluebellbay/bluebellbay/state/router.py
+++ b/packages/bluebellbay/bluebellbay/state/router.py
@@ -3,6 +3,7 @@
 import random
 
 from bluebellbay.state.peer import PeerRecord
+from bluebellbay.state.replica import ReplicaRecord
 from bluebellbay.state.replica import ReplicaTable
 from bluebellbay.state.route_table import RouteTable
 
@@ -13,6 +14,10 @@
     :param failure_domain: Where this node runs.
     :param rng: The only source of randomness.
     :param nodes: Nodes to reckon with until they are counted.
+    :ivar draining: Whether this node is ending.
+    :ivar isolated: Whether it is cut off from other failure domains.
+    :ivar far_heard_at: Time in seconds when a replica in another failure
+        domain answered last.
     """
 
     def __init__(
@@ -25,3 +30,21 @@
         self.replicas = ReplicaTable()
         self.peers: dict[str, PeerRecord] = {}
         self.draining = False
+        self.isolated = False
+        self.far_heard_at = 0.0
+
+    def is_far(self, record: ReplicaRecord) -> bool:
+        """Say whether a replica runs in another failure domain.
+
+        :param record: The replica.
+        """
+        return record.entry.failure_domain != self.failure_domain
+
+    def is_usable(self, record: ReplicaRecord) -> bool:
+        """Say whether a replica may get requests and can be reached.
+
+        :param record: The replica.
+        """
+        if record.entry.draining:
+            return False
+        return not (self.isolated and self.is_far(record))
--- a/packages/bluebellbay/bluebellbay/transport/delegation.py
+++ b/packages/bluebellbay/bluebellbay/transport/delegation.py
@@ -19,6 +19,8 @@
 from bluebellbay.protocol.exchange import ExchangeAnswer
 from bluebellbay.protocol.exchange import ForwardAnswer
 from bluebellbay.protocol.exchange import MergedAnswer
+from bluebellbay.protocol.exchange import PeerProbed
+from bluebellbay.protocol.exchange import ProbePeer
 from bluebellbay.protocol.exchange import RoutedRequest
 from bluebellbay.protocol.exchange import WithdrawDelegation
 from bluebellbay.protocol.node import NodeEntry
@@ -29,10 +31,13 @@
 from bluebellbay.transport.pool import PooledCall
 from bluebellbay.transport.wire import EntryWire
 from bluebellbay.transport.wire import MalformedRequest
+from bluebellbay.transport.wire import ProbeRequest
 from bluebellbay.transport.wire import RequestHead
 
 METHOD = b"POST"
 PATH = b"/v1/delegated-query"
+PROBE_METHOD = b"GET"
+PROBE_PATH = b"/v1/probe"
 OK = 200
 MOST_CONNECTIONS = 64
 
@@ -60,8 +65,11 @@
         :param head: Its head.
         :param body: Its whole body.
         :returns: The caller's request, with the peer's terms.
+        :raises ProbeRequest: If the peer only asks whether we are there.
         :raises MalformedRequest: If it is no query.
         """
+        if head.method == PROBE_METHOD and head.target == PROBE_PATH:
+            raise ProbeRequest
         if head.target != PATH:
             raise MalformedRequest("unknown path")
         try:
@@ -155,6 +163,25 @@
             pool, call = found
             pool.abort(call)
 
+    def probe(self, command: ProbePeer) -> None:
+        """Ask a peer whether it can be reached.
+
+        :param command: The peer.
+        """
+        name = command.peer.name
+        self._find_pool(command.peer).submit_first(
+            PooledCall(
+                method=PROBE_METHOD,
+                path=PROBE_PATH,
+                timeout_s=command.timeout_s,
+                report=lambda end: self._report(
+                    PeerProbed(
+                        name=name, answered=isinstance(end, CallAnswered)
+                    )
+                ),
+            )
+        )
+
     def _find_pool(self, peer: NodeEntry) -> ConnectionPool:
         pool = self._pools.get(peer.address)
         if pool is None:
--- a/packages/bluebellbay/bluebellbay/transport/entry.py
+++ b/packages/bluebellbay/bluebellbay/transport/entry.py
@@ -20,6 +20,7 @@
 from bluebellbay.transport.interface import Report
 from bluebellbay.transport.wire import EntryWire
 from bluebellbay.transport.wire import MalformedRequest
+from bluebellbay.transport.wire import ProbeRequest
 from bluebellbay.transport.wire import RequestHead
 
 SWEEP_S = 0.5
@@ -27,6 +28,7 @@
 MOST_WAITING = 8
 BACKLOG = 512
 BODY_TIMEOUT_S = 10.0
+PROBE_ANSWER = b"HTTP/1.1 204 No Content\r\n\r\n"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 BAD_REQUEST = 400
@@ -199,7 +201,7 @@
         self._exchange = None
         self._served += 1
         self._active_at = self._entry.now()
-        close = not self._keep_alive or self._entry.draining
+        close = not self._keep_alive or not self._entry.keep_alive
         self._write(self._entry.wire.write_answer(answer, close=close))
         if close:
             self._close()
@@ -273,6 +275,9 @@
         except MalformedRequest:
             self._reject(BAD_REQUEST)
             return
+        except ProbeRequest:
+            self._write(PROBE_ANSWER)
+            return
         self._exchange = self._entry.open(self)
         self._entry.report(
             ExchangeOpened(
@@ -334,7 +339,7 @@
         self.wire = wire
         self.report = report
         self.note_rejected = note_rejected
-        self.draining = False
+        self.keep_alive = True
         self._reactor = reactor
         self._listen = listen
         self._port: Any = None
@@ -390,10 +395,6 @@
         if connection is not None:
             connection.answer(answer)
 
-    def drain(self) -> None:
-        """Close each connection after its next answer."""
-        self.draining = True
-
     def stop(self) -> None:
         """Stop listening and close idle connections."""
         if self._sweeper.running:
--- a/packages/bluebellbay/bluebellbay/transport/follower.py
+++ b/packages/bluebellbay/bluebellbay/transport/follower.py
@@ -18,14 +18,17 @@
 from bluebellbay.transport.store import StoreSchema
 from bluebellbay.transport.store import StoreUnavailable
 
-# A watch that went silent is noticed after this time and a little more.
+# A watch that went silent is noticed after this time and a little more. Each
+# wait is a call, and so is each batch of changes; more nodes make fewer each.
 WATCH_S = 2.5
+WATCH_S_A_NODE = 0.07
+LONGEST_WATCH_S = 5.0
+GATHER_S_A_NODE = 0.03
+LONGEST_GATHER_S = 1.0
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
 LEASE_S = 30.0
 RENEWALS_A_LEASE = 3
-# Changes that come together are taken together.
-GATHER_S = 0.02
 
 Fault = Callable[[Exception], None]
 
@@ -55,6 +58,7 @@
     :param report: Told each event.
     :param note_fault: Told each exception that is no answer of the store.
     :param rng: Spreads retries of many nodes.
+    :param count_nodes: Counts the nodes that call the store.
     """
 
     def __init__(
@@ -67,7 +71,9 @@
         report: Report,
         note_fault: Fault,
         rng: random.Random,
+        count_nodes: Callable[[], int],
     ) -> None:
+        self._count_nodes = count_nodes
         self._reactor = reactor
         self._client = client
         self._schema = schema
@@ -125,13 +131,16 @@
         return min(revisions)
 
     async def _read_changes(self, revision: int) -> int:
-        changes = await self._client.watch(revision, WATCH_S)
+        nodes = self._count_nodes()
+        wait_s = min(LONGEST_WATCH_S, WATCH_S + WATCH_S_A_NODE * nodes)
+        changes = await self._client.watch(revision, wait_s)
         self._regain()
         for item in changes.items:
             for event in self._schema.read_change(item):
                 self._report(event)
         if changes.items:
-            await deferLater(self._reactor, GATHER_S)
+            gather_s = min(LONGEST_GATHER_S, GATHER_S_A_NODE * nodes)
+            await deferLater(self._reactor, gather_s)
         return max(revision, changes.revision)
 
     async def _keep_lease(self) -> None:
--- a/packages/bluebellbay/bluebellbay/transport/wire.py
+++ b/packages/bluebellbay/bluebellbay/transport/wire.py
@@ -16,6 +16,10 @@
     """A caller's request lacks something that it must have."""
 
 
+class ProbeRequest(Exception):
+    """A request only asks whether this node can be reached."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RequestHead:
     """The head of a caller's request.
@@ -41,6 +45,7 @@
         :param body: Its whole body.
         :returns: The request.
         :raises MalformedRequest: If it can't be passed on.
+        :raises ProbeRequest: If it is to be answered at once, without body.
         """
 
     @abc.abstractmethod
--- a/packages/bluebellbayd/bluebellbayd/router.py
+++ b/packages/bluebellbayd/bluebellbayd/router.py
@@ -29,10 +29,11 @@
 from bluebellbay.protocol.exchange import ForgetReplica
 from bluebellbay.protocol.exchange import ForwardAnswer
 from bluebellbay.protocol.exchange import MergedAnswer
+from bluebellbay.protocol.exchange import ProbePeer
 from bluebellbay.protocol.exchange import SendAttempt
 from bluebellbay.protocol.exchange import SetCallerLimits
 from bluebellbay.protocol.exchange import SetConnectionLimit
-from bluebellbay.protocol.exchange import SetDraining
+from bluebellbay.protocol.exchange import SetKeepAlive
 from bluebellbay.protocol.exchange import WithdrawDelegation
 from bluebellbay.protocol.node import NodeEntry
 from bluebellbay.protocol.route import CallerLimits
@@ -159,6 +160,7 @@
             report=self.feed,
             note_fault=self._note_fault,
             rng=rng,
+            count_nodes=lambda: self.core.state.nodes,
         )
         self._log_check = LoopingCall(self._check_log)
         self._log_check.clock = reactor
@@ -213,7 +215,8 @@
             MergedAnswer: self._answer,
             ErrorAnswer: self._answer,
             SetCallerLimits: self._set_limits,
-            SetDraining: lambda command: self._drain(),
+            SetKeepAlive: self._set_keep_alive,
+            ProbePeer: self._peers.probe,
             DelegateQuery: self._peers.send,
             WithdrawDelegation: self._peers.withdraw,
             CancelDelegation: self._peers.cancel,
@@ -248,9 +251,8 @@
     def _set_limits(self, command: SetCallerLimits) -> None:
         self._entry.limits = command.limits
 
-    def _drain(self) -> None:
-        self._entry.drain()
-        self._peer_entry.drain()
+    def _set_keep_alive(self, command: SetKeepAlive) -> None:
+        self._entry.keep_alive = command.allowed
 
     def _report_health(self, command: ReportHealth) -> None:
         self._health.ready = command.healthy
