--- a/features/steps/routing_world.py
+++ b/features/steps/routing_world.py
@@ -140,11 +140,19 @@
 class RoutingWorld:
     """Steps a core and keeps its commands."""
 
-    def __init__(self, *, seed=1, nodes=1, slack=58.0, node="node-1"):
+    def __init__(
+        self,
+        *,
+        seed=1,
+        nodes=1,
+        slack=58.0,
+        node="node-1",
+        first_start=True,
+    ):
         self.rules = RouterRules(
             node=node,
             failure_domain=DOMAIN,
-            first_start=True,
+            first_start=first_start,
             nodes=nodes,
             retries=RetryRules(share=0.2, slack=slack, window_s=10.0),
         )
