--- /dev/null
+++ b/features/entry.feature
@@ -0,0 +1,77 @@
+Feature: Callers' connections are read strictly and answered in order
+
+  Scenario: A request is passed on as it came
+    Given a caller's connection
+    When the caller sends a posting in pieces
+    Then one request with its whole body is reported
+    And its answer is written once the core gives it
+
+  Scenario: Requests sent ahead are taken one after the other
+    Given a caller's connection
+    When the caller sends 3 requests at once
+    Then 1 request is reported
+    And each answer is followed by the next request
+
+  Scenario: A caller that leaves is reported
+    Given a caller's connection
+    When the caller sends 1 requests at once
+    And the caller closes its connection
+    Then its request is reported as abandoned
+    And a late answer goes nowhere
+
+  Scenario Outline: <what> is rejected with <status>
+    Given a caller's connection
+    When the caller sends "<bytes>"
+    Then it is answered <status> and closed
+    And no request is reported
+
+    Examples:
+      | what                  | status | bytes                                                                                     |
+      | a second length       | 400    | POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd        |
+      | a length beside chunks | 400    | POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n |
+      | a length with a sign  | 400    | POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: +3\r\n\r\nabc                            |
+      | a second host         | 400    | GET /a/ HTTP/1.1\r\nHost: h\r\nHost: g\r\n\r\n                                           |
+      | no host               | 400    | GET /a/ HTTP/1.1\r\n\r\n                                                                  |
+      | another protocol      | 400    | \x16\x03\x01\x02\r\n\r\n                                                                  |
+      | a whole address       | 400    | GET http://h/a/ HTTP/1.1\r\nHost: h\r\n\r\n                                               |
+      | no request id         | 400    | GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n                                                       |
+      | a body too large      | 413    | POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 999999\r\n\r\n                            |
+
+  Scenario: A head that never ends is bounded in bytes
+    Given a caller's connection
+    When the caller sends 20000 bytes of a header
+    Then it is answered 431 and closed
+
+  Scenario: A chunked body is bounded in bytes
+    Given a caller's connection
+    When the caller sends 300000 bytes in chunks
+    Then it is answered 413 and closed
+
+  Scenario: A head that never ends is bounded in time
+    Given a caller's connection
+    When the caller sends "no request at all"
+    And 4 s pass for the connection
+    Then it is closed
+
+  Scenario: An idle connection is closed after its limit only
+    Given a caller's connection
+    When 12 s pass for the connection
+    Then it is open
+    When 4 s pass for the connection
+    Then it is closed
+
+  Scenario: A connection is closed after its answer while keeping is not allowed
+    Given a caller's connection
+    And the listener closes connections after their answers
+    When the caller sends 1 requests at once
+    And the core answers
+    Then the answer says so and the connection is closed
+
+  Scenario: No bytes of a caller break the reader
+    Then whatever bytes a caller sends the reader answers or closes in order
+
+  Scenario: Only a whole answer of a replica is an answer
+    Then a replica's answer is whole, foreign or broken as its bytes say
+
+  Scenario: No bytes of a replica break the reader
+    Then whatever bytes a replica sends the call ends once
