--- /dev/null
+++ b/features/steps/platform_world.py
@@ -0,0 +1,350 @@
+"""Stand-ins on the platform's wire, and the program as a process."""
+
+import base64
+import contextlib
+import http.client
+import http.server
+import json
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from urllib.parse import parse_qs
+from urllib.parse import urlsplit
+
+HOST = "calls.example"
+AMPLE_S = 60
+POLL_S = 0.05
+
+
+def find_ports(count):
+    probes = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [probe.getsockname()[1] for probe in probes]
+    for probe in probes:
+        probe.close()
+    return ports
+
+
+def wait_for(condition, seconds=AMPLE_S):
+    until = time.monotonic() + seconds
+    while True:
+        found = condition()
+        if found or time.monotonic() > until:
+            return found
+        time.sleep(POLL_S)
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, *arguments):
+        """Print nothing."""
+
+    def answer(self, status, body=b"", **headers):
+        self.send_response(status)
+        for name, value in headers.items():
+            self.send_header(name.replace("_", "-"), value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def read_body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length") or 0))
+
+
+class Server:
+    """An HTTP server in threads, which can go away and come back."""
+
+    def __init__(self, handle, port=0):
+        self._handle = handle
+        self._server = None
+        self.port = port
+        self.start()
+
+    def start(self):
+        handle = self._handle
+
+        class Bound(Handler):
+            def do_GET(self):  # noqa: N802
+                handle(self)
+
+            do_POST = do_GET  # noqa: N815
+            do_DELETE = do_GET  # noqa: N815
+
+        self._server = http.server.ThreadingHTTPServer(
+            ("127.0.0.1", self.port), Bound
+        )
+        self._server.daemon_threads = True
+        self.port = self._server.server_address[1]
+        threading.Thread(
+            target=self._server.serve_forever, args=(POLL_S,), daemon=True
+        ).start()
+
+    def stop(self):
+        self._server.shutdown()
+        self._server.server_close()
+
+
+class StoreStandIn:
+    """The platform's store in memory: ranges, watches, leases, writes."""
+
+    def __init__(self):
+        self.items = {}
+        self.revision = 1
+        self.away = False
+        self._events = []
+        self._changed = threading.Condition()
+        self.server = Server(self._handle)
+
+    def put(self, key, value):
+        with self._changed:
+            self.revision += 1
+            item = {
+                "key": key,
+                "value": base64.b64encode(json.dumps(value).encode()).decode(),
+                "revision": self.revision,
+            }
+            self.items[key] = item
+            self._events.append(item)
+            self._changed.notify_all()
+
+    def _handle(self, request):
+        body = request.read_body()
+        if self.away:
+            request.close_connection = True
+            return
+        url = urlsplit(request.path)
+        query = parse_qs(url.query, keep_blank_values=True)
+        answer = self._answer(url.path, query, body)
+        with contextlib.suppress(OSError):
+            request.answer(200, json.dumps(answer).encode())
+
+    def _answer(self, path, query, body):
+        if path == "/-/kv-range":
+            return self._range(query["prefix"][0])
+        if path == "/-/kv-watch":
+            return self._watch(
+                int(query["after"][0]), int(query["wait-ms"][0]) / 1000
+            )
+        if path == "/-/kv-txn":
+            for write in json.loads(body)["writes"]:
+                value = base64.b64decode(write["value"])
+                self.put(write["key"], json.loads(value))
+            return {"revision": self.revision}
+        return {"lease": 1, "ttl-ms": 30000}
+
+    def _range(self, prefix):
+        with self._changed:
+            items = [
+                self.items[key]
+                for key in sorted(self.items)
+                if key.startswith(prefix)
+            ]
+            return {
+                "items": items,
+                "has-more": False,
+                "store-revision": self.revision,
+            }
+
+    def _watch(self, after, wait_s):
+        def list_new():
+            return [item for item in self._events if item["revision"] > after]
+
+        with self._changed:
+            self._changed.wait_for(
+                lambda: list_new() or self.away, timeout=wait_s
+            )
+            return {"events": list_new(), "store-revision": self.revision}
+
+
+class ReplicaStandIn:
+    """A replica that signs its answers and remembers what it ran."""
+
+    def __init__(self, replica_id, service):
+        self.replica_id = replica_id
+        self.service = service
+        self.ran = []
+        self.delay_s = 0.0
+        self.server = Server(self._handle)
+        self.records = b"".join(
+            f"{replica_id}-{number}".ljust(16)[:16].encode()
+            for number in range(4)
+        )
+
+    def describe(self, **fields):
+        return {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.server.port}",
+            "zone": "zone-a",
+            "max-concurrency": 4,
+            "state": "ready",
+            "sequence": 1,
+            "born": 1000,
+            **fields,
+        }
+
+    def _handle(self, request):
+        body = request.read_body()
+        headers = request.headers
+        if headers["Bluebellbay-Target-Instance"] != self.replica_id:
+            request.answer(421)
+            return
+        self.ran.append((request.command, request.path, body))
+        time.sleep(self.delay_s)
+        request.answer(
+            200,
+            body or self.records,
+            Bluebellbay_Request_Id=headers["Bluebellbay-Request-Id"],
+            Bluebellbay_Response_Signature=f"digest-{self.replica_id}",
+        )
+
+
+class PlatformWorld:
+    """A store, replicas, and the program that is tried."""
+
+    def __init__(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.ports = find_ports(5)
+        self.store = StoreStandIn()
+        self.shards = [
+            ReplicaStandIn(f"shard-{number}", f"shard-{number}")
+            for number in range(4)
+        ]
+        self.posting = [
+            ReplicaStandIn(f"posting-{number}", "posting")
+            for number in range(2)
+        ]
+        self.process = None
+        self.log = pathlib.Path(self.folder.name) / "log"
+        for replica in (*self.shards, *self.posting):
+            self.store.put(f"servers/{replica.replica_id}", replica.describe())
+        self.configure(7, "/post/")
+
+    def configure(self, version, prefix):
+        common = {
+            "hostname": HOST,
+            "timeout-ms": 5000,
+            "target-latency-ms": 2000,
+            "max-attempts": 2,
+        }
+        services = [replica.service for replica in self.shards]
+        self.store.put(
+            "op/config",
+            {
+                "version": version,
+                "routes": [
+                    {
+                        **common,
+                        "name": "query",
+                        "prefix": "/query/",
+                        "type": "safe",
+                        "fanout-services": services,
+                        "top-k": 5,
+                        "min-shard-ratio": 0.75,
+                    },
+                    {
+                        **common,
+                        "name": "post",
+                        "prefix": prefix,
+                        "type": "unsafe",
+                        "service": "posting",
+                    },
+                ],
+                "services": [
+                    {"name": name, "max-connections": 26}
+                    for name in (*services, "posting")
+                ],
+                "limits": {
+                    "max-header-bytes": 16384,
+                    "max-body-bytes": 262144,
+                    "header-timeout-ms": 3000,
+                    "idle-timeout-ms": 15000,
+                },
+            },
+        )
+
+    def write_settings(self, *, store=True):
+        callers, health, peers, _, _ = self.ports
+        text = f"""
+node-name = "node-1"
+zone = "zone-a"
+ip-address = "127.0.0.1"
+is-bootstrap = true
+internal-port-range = [{peers}, {peers}]
+[bind-addresses]
+front = "127.0.0.1:{callers}"
+readiness = "127.0.0.1:{health}"
+[bounds]
+grace-s = 20
+retry-budget-slack = 58
+[platform]
+"""
+        if store:
+            text += f'address = "127.0.0.1:{self.store.server.port}"\n'
+        path = pathlib.Path(self.folder.name) / "settings.toml"
+        path.write_text(text, encoding="utf-8")
+        return path
+
+    def start(self, **settings):
+        environment = {
+            **os.environ,
+            "BLUEBELLBAY_BOOT": str(self.write_settings(**settings)),
+        }
+        with self.log.open("wb") as log:
+            self.process = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "bluebellbay_platform",
+                    "--metrics-port",
+                    str(self.ports[3]),
+                ],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env=environment,
+            )
+
+    def stop(self):
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait(AMPLE_S)
+        for replica in (*self.shards, *self.posting):
+            replica.server.stop()
+        self.store.server.stop()
+        self.folder.cleanup()
+
+    def call(self, path, *, method="GET", body=None, number=1):
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.ports[0], timeout=AMPLE_S
+        )
+        headers = {
+            "Host": HOST,
+            "Bluebellbay-Request-Id": f"id-{number}",
+            "Bluebellbay-Deadline-Ms": "5000",
+        }
+        connection.request(method, path, body=body, headers=headers)
+        answer = connection.getresponse()
+        content = answer.read()
+        connection.close()
+        return answer, content
+
+    def read_page(self, port, path):
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", port, timeout=AMPLE_S
+        )
+        try:
+            connection.request("GET", path)
+            answer = connection.getresponse()
+            return answer.status, answer.read()
+        except OSError:
+            return 0, b""
+        finally:
+            connection.close()
+
+    def is_ready(self):
+        return self.read_page(self.ports[1], "/-/ready")[0] == 200
