Group decisions by what they serve; learn from sparse samples; gather changes

Cause: coordination was one flat folder of 35 modules. Now changes gather for 0.1 s a node, 1 s at most; where latencies are further apart than half a second the last one counts alone. Ruled out: longer waits alone, as the calls came from changes; a node would notice a silent watch too late. The regrouping changes no behaviour.

--- a/features/replicas.feature
+++ b/features/replicas.feature
@@ -107,3 +107,9 @@
     When the node is asked to end
     And a peer asks for 2 shards
     Then it is answered "refused" as not run
+
+  Scenario: A replica that is seldom asked is known as slow after one reply
+    Given a safe route to 2 replicas with known response times
+    When 2 s later one replica takes 0.2 s for a reply
+    And 3 requests arrive
+    Then none of them went to that replica
--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -6,9 +6,9 @@
 import behave
 from claim_store import ClaimStore
 
-from bluebellbay.coordination.claim import ClaimPart
 from bluebellbay.coordination.core import Core
 from bluebellbay.coordination.part import Part
+from bluebellbay.coordination.postings.claim import ClaimPart
 from bluebellbay.protocol.answer import Answer
 from bluebellbay.protocol.claim import Claim
 from bluebellbay.protocol.claim import ClaimBucket
--- a/features/steps/claim_world.py
+++ b/features/steps/claim_world.py
@@ -9,9 +9,9 @@
 from query_world import make_rows
 from query_world import make_settings
 
-from bluebellbay.coordination.claim import ClaimPart
 from bluebellbay.coordination.core import Core
-from bluebellbay.coordination.query import QueryPart
+from bluebellbay.coordination.postings.claim import ClaimPart
+from bluebellbay.coordination.queries.query import QueryPart
 from bluebellbay.protocol.claim import decode_bucket
 from bluebellbay.protocol.command import AnswerCaller
 from bluebellbay.protocol.command import LogDecision
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -5,16 +5,18 @@
 
 import behave
 
-from bluebellbay.coordination.change import build_next
-from bluebellbay.coordination.change import ChangeOutcome
-from bluebellbay.coordination.change import find_base
-from bluebellbay.coordination.change import judge_change
-from bluebellbay.coordination.change import list_foreign_changes
-from bluebellbay.coordination.change import ProfileDelete
-from bluebellbay.coordination.change import ProfileSet
-from bluebellbay.coordination.configuration import ConfigurationPart
+from bluebellbay.coordination.configurations.change import build_next
+from bluebellbay.coordination.configurations.change import ChangeOutcome
+from bluebellbay.coordination.configurations.change import find_base
+from bluebellbay.coordination.configurations.change import judge_change
+from bluebellbay.coordination.configurations.change import list_foreign_changes
+from bluebellbay.coordination.configurations.change import ProfileDelete
+from bluebellbay.coordination.configurations.change import ProfileSet
+from bluebellbay.coordination.configurations.configuration import (
+    ConfigurationPart,
+)
 from bluebellbay.coordination.core import Core
-from bluebellbay.coordination.membership import MembershipPart
+from bluebellbay.coordination.fleet.membership import MembershipPart
 from bluebellbay.protocol.codec import encode_json
 from bluebellbay.protocol.command import LogDecision
 from bluebellbay.protocol.command import ReadKey
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -8,9 +8,9 @@
 from share_world import make_settings
 
 from bluebellbay.coordination.core import Core
-from bluebellbay.coordination.leaving import LeavingPart
-from bluebellbay.coordination.server import ServerPart
-from bluebellbay.coordination.share import SharePart
+from bluebellbay.coordination.fleet.share import SharePart
+from bluebellbay.coordination.servers.leaving import LeavingPart
+from bluebellbay.coordination.servers.server import ServerPart
 from bluebellbay.protocol.command import SendPeer
 from bluebellbay.protocol.command import SetConnectionShare
 from bluebellbay.protocol.configuration import ConfigurationDocument
--- a/features/steps/query_history_steps.py
+++ b/features/steps/query_history_steps.py
@@ -10,7 +10,7 @@
 from query_world import make_rows
 from query_world import QueryWorld
 
-from bluebellbay.coordination.merge import Merger
+from bluebellbay.coordination.queries.merge import Merger
 from bluebellbay.protocol.event import CallerGone
 from bluebellbay.protocol.event import LegRefused
 from bluebellbay.protocol.event import LegReplied
--- a/features/steps/query_world.py
+++ b/features/steps/query_world.py
@@ -6,10 +6,10 @@
 import random
 
 from bluebellbay.coordination.core import Core
-from bluebellbay.coordination.leaving import LeavingPart
 from bluebellbay.coordination.part import Part
-from bluebellbay.coordination.query import QueryPart
-from bluebellbay.coordination.server import ServerPart
+from bluebellbay.coordination.queries.query import QueryPart
+from bluebellbay.coordination.servers.leaving import LeavingPart
+from bluebellbay.coordination.servers.server import ServerPart
 from bluebellbay.protocol.answer import Row
 from bluebellbay.protocol.command import AnswerCaller
 from bluebellbay.protocol.command import CancelLeg
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -56,12 +56,16 @@
     return context.world.answers.get(context.exchange)
 
 
-def reply_to(context, count=None, *, skip=()):
+def reply_to(context, count=None, *, skip=(), skip_replica=None):
     world = context.world
+    replicas = {
+        number: world.arrivals[number].command.replica
+        for number in world.list_open()
+    }
     open_ = [
         number
-        for number in world.list_open()
-        if world.arrivals[number].command.replica.service not in skip
+        for number, replica in replicas.items()
+        if replica.service not in skip and replica.replica_id != skip_replica
     ]
     for number in open_[:count]:
         service = world.arrivals[number].command.replica.service
@@ -461,10 +465,19 @@
     (sent,) = context.world.list_sent(context.exchange)
     context.avoided = sent.replica.replica_id
     context.world.advance(0.08)
-    for number in context.world.list_open():
-        arrival = context.world.arrivals[number]
-        if arrival.command.replica.replica_id != context.avoided:
-            context.world.reply(number)
+    reply_to(context, skip_replica=context.avoided)
+
+
+@behave.when("2 s later one replica takes 0.2 s for a reply")
+def step_slow_once(context):
+    context.world.advance(2.0)
+    arrive(context)
+    (sent,) = context.world.list_sent(context.exchange)
+    context.avoided = sent.replica.replica_id
+    context.world.advance(0.1)
+    reply_to(context, skip_replica=context.avoided)
+    context.world.advance(0.1)
+    reply_to(context)
 
 
 @behave.when("one replica refuses each attempt of 5 requests")
--- a/features/steps/share_world.py
+++ b/features/steps/share_world.py
@@ -4,10 +4,10 @@
 import random
 
 from bluebellbay.coordination.core import Core
-from bluebellbay.coordination.membership import MembershipPart
+from bluebellbay.coordination.fleet.membership import MembershipPart
+from bluebellbay.coordination.fleet.share import SharePart
 from bluebellbay.coordination.part import Part
-from bluebellbay.coordination.server import ServerPart
-from bluebellbay.coordination.share import SharePart
+from bluebellbay.coordination.servers.server import ServerPart
 from bluebellbay.protocol.command import ReadVmList
 from bluebellbay.protocol.command import SendPeer
 from bluebellbay.protocol.command import SetConnectionShare
--- a/features/steps/spread_steps.py
+++ b/features/steps/spread_steps.py
@@ -4,8 +4,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from bluebellbay.coordination.change import build_next
-from bluebellbay.coordination.change import ProfileSet
+from bluebellbay.coordination.configurations.change import build_next
+from bluebellbay.coordination.configurations.change import ProfileSet
 from bluebellbay.protocol.codec import decode_json
 from bluebellbay.protocol.codec import decode_peer
 from bluebellbay.protocol.codec import encode_json
--- a/packages/bench/bluebellbay_bench/claims.py
+++ b/packages/bench/bluebellbay_bench/claims.py
@@ -20,10 +20,10 @@
 
 import tabulate
 
-from bluebellbay.coordination.claim import ClaimPart
 from bluebellbay.coordination.core import Core
 from bluebellbay.coordination.part import Part
 from bluebellbay.coordination.part import Step
+from bluebellbay.coordination.postings.claim import ClaimPart
 from bluebellbay.protocol.answer import Answer
 from bluebellbay.protocol.answer import Row
 from bluebellbay.protocol.claim import Claim
--- a/packages/bench/bluebellbay_bench/control_cost.py
+++ b/packages/bench/bluebellbay_bench/control_cost.py
@@ -9,8 +9,8 @@
 import time
 import tracemalloc
 
-from bluebellbay.coordination.change import build_next
-from bluebellbay.coordination.change import VmLeave
+from bluebellbay.coordination.configurations.change import build_next
+from bluebellbay.coordination.configurations.change import VmLeave
 from bluebellbay.coordination.core import Core
 from bluebellbay.protocol.codec import encode_json
 from bluebellbay.protocol.event import TimePassed
--- a/packages/bench/bluebellbay_bench/spread_loop.py
+++ b/packages/bench/bluebellbay_bench/spread_loop.py
@@ -13,9 +13,11 @@
 import random
 from typing import Any
 
-from bluebellbay.coordination.configuration import ConfigurationPart
+from bluebellbay.coordination.configurations.configuration import (
+    ConfigurationPart,
+)
 from bluebellbay.coordination.core import Core
-from bluebellbay.coordination.membership import MembershipPart
+from bluebellbay.coordination.fleet.membership import MembershipPart
 from bluebellbay.protocol.codec import decode_peer
 from bluebellbay.protocol.codec import encode_peer
 from bluebellbay.protocol.command import Command
--- a/packages/bench/bluebellbay_bench/spread_trial.py
+++ b/packages/bench/bluebellbay_bench/spread_trial.py
@@ -4,8 +4,8 @@
 import dataclasses
 import time
 
-from bluebellbay.coordination.change import build_next
-from bluebellbay.coordination.change import ProfileSet
+from bluebellbay.coordination.configurations.change import build_next
+from bluebellbay.coordination.configurations.change import ProfileSet
 from bluebellbay.protocol.codec import encode_json
 from bluebellbay.protocol.configuration import ConfigurationDocument
 from bluebellbay.protocol.peer import PeerStatus
--- a/packages/bench/bluebellbay_bench/throughput.py
+++ b/packages/bench/bluebellbay_bench/throughput.py
@@ -16,8 +16,8 @@
 
 import tabulate
 
-from bluebellbay.coordination.change import build_next
-from bluebellbay.coordination.change import ProfileSet
+from bluebellbay.coordination.configurations.change import build_next
+from bluebellbay.coordination.configurations.change import ProfileSet
 from bluebellbay.protocol.codec import encode_json
 from bluebellbay.protocol.configuration import CONFIGURATION_KEY
 from bluebellbay.protocol.profile import Profile
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/coordination/configurations/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on the operators' configuration and its spreading."""
--- a/packages/bluebellbay/bluebellbay/coordination/change.py
+++ b/packages/bluebellbay/bluebellbay/coordination/configurations/change.py
@@ -7,8 +7,8 @@
 from expression import Ok
 from expression import Result
 
-from bluebellbay.coordination.document import find_fault
-from bluebellbay.coordination.document import join_documents
+from bluebellbay.coordination.configurations.document import find_fault
+from bluebellbay.coordination.configurations.document import join_documents
 from bluebellbay.protocol.codec import decode_json
 from bluebellbay.protocol.codec import encode_json
 from bluebellbay.protocol.configuration import ChangeNote
--- a/packages/bluebellbay/bluebellbay/coordination/configuration.py
+++ b/packages/bluebellbay/bluebellbay/coordination/configurations/configuration.py
@@ -4,12 +4,12 @@
 from collections.abc import Iterator
 import dataclasses
 
-from bluebellbay.coordination.document import find_fault
-from bluebellbay.coordination.document import join_documents
-from bluebellbay.coordination.document import parse_document
+from bluebellbay.coordination.configurations.document import find_fault
+from bluebellbay.coordination.configurations.document import join_documents
+from bluebellbay.coordination.configurations.document import parse_document
+from bluebellbay.coordination.configurations.store_watch import StoreWatch
 from bluebellbay.coordination.part import Part
 from bluebellbay.coordination.part import Step
-from bluebellbay.coordination.store_watch import StoreWatch
 from bluebellbay.protocol.codec import encode_json
 from bluebellbay.protocol.command import Field
 from bluebellbay.protocol.command import LogDecision
--- a/packages/bluebellbay/bluebellbay/coordination/store_watch.py
+++ b/packages/bluebellbay/bluebellbay/coordination/configurations/store_watch.py
@@ -1,6 +1,6 @@
 """When a node asks the store for the configuration, and how."""
 
-from bluebellbay.coordination.watcher import is_watcher
+from bluebellbay.coordination.configurations.watcher import is_watcher
 from bluebellbay.protocol.command import ReadKey
 from bluebellbay.protocol.command import WatchKey
 from bluebellbay.protocol.command import WriteKey
--- a/packages/bluebellbay/bluebellbay/coordination/core.py
+++ b/packages/bluebellbay/bluebellbay/coordination/core.py
@@ -2,15 +2,17 @@
 
 import random
 
-from bluebellbay.coordination.claim import ClaimPart
-from bluebellbay.coordination.configuration import ConfigurationPart
+from bluebellbay.coordination.configurations.configuration import (
+    ConfigurationPart,
+)
 from bluebellbay.coordination.facade import Facade
-from bluebellbay.coordination.leaving import LeavingPart
-from bluebellbay.coordination.membership import MembershipPart
+from bluebellbay.coordination.fleet.membership import MembershipPart
+from bluebellbay.coordination.fleet.share import SharePart
 from bluebellbay.coordination.part import Part
-from bluebellbay.coordination.query import QueryPart
-from bluebellbay.coordination.server import ServerPart
-from bluebellbay.coordination.share import SharePart
+from bluebellbay.coordination.postings.claim import ClaimPart
+from bluebellbay.coordination.queries.query import QueryPart
+from bluebellbay.coordination.servers.leaving import LeavingPart
+from bluebellbay.coordination.servers.server import ServerPart
 from bluebellbay.coordination.shutdown import ShutdownPart
 from bluebellbay.settings import Settings
 from bluebellbay.state.node import NodeState
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/coordination/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on the other nodes: membership and connection shares."""
--- a/packages/bluebellbay/bluebellbay/coordination/membership.py
+++ b/packages/bluebellbay/bluebellbay/coordination/fleet/membership.py
@@ -8,11 +8,11 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 
+from bluebellbay.coordination.configurations.status_queue import StatusQueue
 from bluebellbay.coordination.part import Part
 from bluebellbay.coordination.part import Step
-from bluebellbay.coordination.probe import Probe
-from bluebellbay.coordination.probe import ProbeTable
-from bluebellbay.coordination.status_queue import StatusQueue
+from bluebellbay.coordination.servers.probe import Probe
+from bluebellbay.coordination.servers.probe import ProbeTable
 from bluebellbay.protocol.command import Field
 from bluebellbay.protocol.command import LogDecision
 from bluebellbay.protocol.command import SendPeer
--- a/packages/bluebellbay/bluebellbay/coordination/share.py
+++ b/packages/bluebellbay/bluebellbay/coordination/fleet/share.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from bluebellbay.coordination.census import Census
+from bluebellbay.coordination.fleet.census import Census
 from bluebellbay.coordination.part import Part
 from bluebellbay.coordination.part import Step
 from bluebellbay.protocol.command import Field
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/coordination/postings/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on requests that are not idempotent, and their claims."""
--- a/packages/bluebellbay/bluebellbay/coordination/claim.py
+++ b/packages/bluebellbay/bluebellbay/coordination/postings/claim.py
@@ -4,12 +4,12 @@
 from typing import ClassVar
 from typing import Final
 
-from bluebellbay.coordination.claim_bucket import BucketWriter
-from bluebellbay.coordination.claim_bucket import StoreEvent
-from bluebellbay.coordination.claim_life import ClaimAttempt
-from bluebellbay.coordination.claim_pace import RecordPace
 from bluebellbay.coordination.part import Part
 from bluebellbay.coordination.part import Step
+from bluebellbay.coordination.postings.claim_bucket import BucketWriter
+from bluebellbay.coordination.postings.claim_bucket import StoreEvent
+from bluebellbay.coordination.postings.claim_life import ClaimAttempt
+from bluebellbay.coordination.postings.claim_pace import RecordPace
 from bluebellbay.coordination.timer import TimerQueue
 from bluebellbay.protocol.answer import Answer
 from bluebellbay.protocol.claim import Claim
--- a/packages/bluebellbay/bluebellbay/coordination/claim_bucket.py
+++ b/packages/bluebellbay/bluebellbay/coordination/postings/claim_bucket.py
@@ -6,9 +6,9 @@
 
 from expression import Result
 
-from bluebellbay.coordination.claim_life import ClaimAttempt
-from bluebellbay.coordination.claim_pace import RecordPace
 from bluebellbay.coordination.part import Step
+from bluebellbay.coordination.postings.claim_life import ClaimAttempt
+from bluebellbay.coordination.postings.claim_pace import RecordPace
 from bluebellbay.coordination.timer import Timed
 from bluebellbay.coordination.timer import TimerQueue
 from bluebellbay.protocol.claim import Claim
--- a/packages/bluebellbay/bluebellbay/coordination/posting.py
+++ b/packages/bluebellbay/bluebellbay/coordination/postings/posting.py
@@ -4,12 +4,12 @@
 
 from automat import TypeMachineBuilder
 
-from bluebellbay.coordination.dispatch import Dispatcher
-from bluebellbay.coordination.leg import Leg
-from bluebellbay.coordination.leg import Run
-from bluebellbay.coordination.leg import Task
-from bluebellbay.coordination.merge import Merger
-from bluebellbay.coordination.snapshot import Plan
+from bluebellbay.coordination.queries.dispatch import Dispatcher
+from bluebellbay.coordination.queries.leg import Leg
+from bluebellbay.coordination.queries.leg import Run
+from bluebellbay.coordination.queries.leg import Task
+from bluebellbay.coordination.queries.merge import Merger
+from bluebellbay.coordination.queries.snapshot import Plan
 from bluebellbay.protocol.answer import Answer
 from bluebellbay.protocol.error import NotRunKind
 from bluebellbay.protocol.error import Outcome
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/coordination/queries/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on queries over key ranges."""
--- a/packages/bluebellbay/bluebellbay/coordination/gate.py
+++ b/packages/bluebellbay/bluebellbay/coordination/queries/gate.py
@@ -3,7 +3,7 @@
 import heapq
 import itertools
 
-from bluebellbay.coordination.leg import Run
+from bluebellbay.coordination.queries.leg import Run
 from bluebellbay.coordination.timer import Timed
 from bluebellbay.coordination.timer import TimerQueue
 from bluebellbay.protocol.peer import PeerStatus
--- a/packages/bluebellbay/bluebellbay/coordination/query.py
+++ b/packages/bluebellbay/bluebellbay/coordination/queries/query.py
@@ -2,17 +2,17 @@
 
 from collections.abc import Iterable
 
-from bluebellbay.coordination.admission import check_request
-from bluebellbay.coordination.dispatch import Dispatcher
-from bluebellbay.coordination.dispatch import PART
-from bluebellbay.coordination.gate import AdmissionGate
-from bluebellbay.coordination.leg import Leg
-from bluebellbay.coordination.leg import Run
-from bluebellbay.coordination.merge import fits_leg
 from bluebellbay.coordination.part import Part
 from bluebellbay.coordination.part import Step
-from bluebellbay.coordination.posting import Posting
-from bluebellbay.coordination.search import Search
+from bluebellbay.coordination.postings.posting import Posting
+from bluebellbay.coordination.queries.admission import check_request
+from bluebellbay.coordination.queries.dispatch import Dispatcher
+from bluebellbay.coordination.queries.dispatch import PART
+from bluebellbay.coordination.queries.gate import AdmissionGate
+from bluebellbay.coordination.queries.leg import Leg
+from bluebellbay.coordination.queries.leg import Run
+from bluebellbay.coordination.queries.merge import fits_leg
+from bluebellbay.coordination.queries.search import Search
 from bluebellbay.protocol.answer import Answer
 from bluebellbay.protocol.command import AnswerCaller
 from bluebellbay.protocol.command import LogDecision
--- a/packages/bluebellbay/bluebellbay/coordination/search.py
+++ b/packages/bluebellbay/bluebellbay/coordination/queries/search.py
@@ -1,13 +1,13 @@
 """A repeatable request: many legs, one snapshot, one answer."""
 
-from bluebellbay.coordination.dispatch import Dispatcher
-from bluebellbay.coordination.leg import Leg
-from bluebellbay.coordination.leg import Run
-from bluebellbay.coordination.leg import Task
-from bluebellbay.coordination.merge import Merger
-from bluebellbay.coordination.poll import LEAST_GAP_S
+from bluebellbay.coordination.queries.dispatch import Dispatcher
+from bluebellbay.coordination.queries.leg import Leg
+from bluebellbay.coordination.queries.leg import Run
+from bluebellbay.coordination.queries.leg import Task
+from bluebellbay.coordination.queries.merge import Merger
+from bluebellbay.coordination.queries.snapshot import Plan
 from bluebellbay.coordination.scarcity import find_patience
-from bluebellbay.coordination.snapshot import Plan
+from bluebellbay.coordination.servers.poll import LEAST_GAP_S
 from bluebellbay.protocol.answer import Answer
 from bluebellbay.protocol.command import Field
 from bluebellbay.protocol.error import FailedKind
--- a/packages/bluebellbay/bluebellbay/coordination/routing/retry_budget.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/retry_budget.py
@@ -1,8 +1,8 @@
 """Keeps repeats within a service's share, though nodes don't talk."""
 
-from bluebellbay.coordination.budget import SlidingCount
 from bluebellbay.coordination.routing.rules import RouterRules
 from bluebellbay.state.router import RouterState
+from bluebellbay.state.sliding_count import SlidingCount
 
 # Nodes start and stop counting requests at slightly different moments.
 SAFE_PART = 0.9
--- a/packages/bluebellbay/bluebellbay/coordination/routing/selection.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/selection.py
@@ -17,6 +17,8 @@
 UNKNOWN_LATENCY_S = 0.010
 # An estimate loses its weight while nothing is sent there.
 ESTIMATE_LIFE_S = 3.0
+# Of latencies that are further apart, only the last tells of the present.
+SPARSE_S = 0.5
 JITTER = 0.1
 
 
@@ -104,4 +106,7 @@
             return usual_s * (WARMUP_FACTOR if warming else 1.0)
         idle_s = now - window.probed_at
         weight = math.exp(-idle_s / ESTIMATE_LIFE_S)
-        return usual_s + weight * (window.estimate_s - usual_s)
+        estimate_s = window.estimate_s
+        if window.gap_s > SPARSE_S:
+            estimate_s = window.last_s
+        return usual_s + weight * (estimate_s - usual_s)
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/coordination/servers/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on backend servers: health, choice, leaving."""
--- a/packages/bluebellbay/bluebellbay/state/latency.py
+++ b/packages/bluebellbay/bluebellbay/state/latency.py
@@ -1,6 +1,7 @@
 """Latencies of legs: an estimate and a window of samples for each server."""
 
 import collections
+import math
 
 WINDOW_SAMPLES = 128
 REFRESH_SAMPLES = 16
@@ -15,6 +16,11 @@
     The estimate is the median of the very last ones: a single pause of the
     server doesn't move it, and a server that has become slow is known as
     such after three legs.
+
+    :ivar estimate_s: The estimate in seconds; 0 if there is none.
+    :ivar last_s: The last latency in seconds.
+    :ivar gap_s: Seconds between the last two.
+    :ivar probed_at: Time in seconds of the last one.
     """
 
     __slots__ = (
@@ -23,12 +29,16 @@
         "_samples",
         "_sorted",
         "estimate_s",
+        "gap_s",
+        "last_s",
         "probed_at",
     )
 
     def __init__(self) -> None:
         self.estimate_s = 0.0
         self.probed_at = 0.0
+        self.gap_s = math.inf
+        self.last_s = 0.0
         self._samples: collections.deque[float] = collections.deque(
             maxlen=WINDOW_SAMPLES
         )
@@ -52,7 +62,9 @@
         self._samples.append(seconds)
         self._recent.append(seconds)
         self.estimate_s = sorted(self._recent)[len(self._recent) // 2]
+        self.gap_s = now - self.probed_at
         self.probed_at = now
+        self.last_s = seconds
         self._fresh += 1
 
     def add_unanswered(self, seconds: float, now: float) -> None:
--- a/packages/bluebellbay/bluebellbay/transport/follower.py
+++ b/packages/bluebellbay/bluebellbay/transport/follower.py
@@ -22,8 +22,8 @@
 # wait is a call, and so is each batch of changes; more nodes make fewer each.
 WATCH_S = 2.5
 WATCH_S_A_NODE = 0.07
-LONGEST_WATCH_S = 5.0
-GATHER_S_A_NODE = 0.03
+LONGEST_WATCH_S = 4.0
+GATHER_S_A_NODE = 0.1
 LONGEST_GATHER_S = 1.0
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
--- a/packages/bluebellctl/bluebellctl/change.py
+++ b/packages/bluebellctl/bluebellctl/change.py
@@ -12,13 +12,13 @@
 from twisted.internet import reactor
 from twisted.internet.task import deferLater
 
-from bluebellbay.coordination.change import build_next
-from bluebellbay.coordination.change import Change
-from bluebellbay.coordination.change import ChangeOutcome
-from bluebellbay.coordination.change import describe_change
-from bluebellbay.coordination.change import find_base
-from bluebellbay.coordination.change import judge_change
-from bluebellbay.coordination.change import list_foreign_changes
+from bluebellbay.coordination.configurations.change import build_next
+from bluebellbay.coordination.configurations.change import Change
+from bluebellbay.coordination.configurations.change import ChangeOutcome
+from bluebellbay.coordination.configurations.change import describe_change
+from bluebellbay.coordination.configurations.change import find_base
+from bluebellbay.coordination.configurations.change import judge_change
+from bluebellbay.coordination.configurations.change import list_foreign_changes
 from bluebellbay.protocol.codec import decode_json
 from bluebellbay.protocol.codec import encode_json
 from bluebellbay.protocol.configuration import CONFIGURATION_KEY
--- a/packages/bluebellctl/bluebellctl/profile.py
+++ b/packages/bluebellctl/bluebellctl/profile.py
@@ -3,8 +3,8 @@
 import argparse
 import dataclasses
 
-from bluebellbay.coordination.change import ProfileDelete
-from bluebellbay.coordination.change import ProfileSet
+from bluebellbay.coordination.configurations.change import ProfileDelete
+from bluebellbay.coordination.configurations.change import ProfileSet
 from bluebellbay.protocol.configuration import ConfigurationDocument
 from bluebellbay.protocol.configuration import ProfileRecord
 from bluebellbay.protocol.profile import Profile
--- a/packages/bluebellctl/bluebellctl/vm.py
+++ b/packages/bluebellctl/bluebellctl/vm.py
@@ -3,8 +3,8 @@
 import argparse
 import dataclasses
 
-from bluebellbay.coordination.change import VmLeave
-from bluebellbay.coordination.change import VmReturn
+from bluebellbay.coordination.configurations.change import VmLeave
+from bluebellbay.coordination.configurations.change import VmReturn
 from bluebellbay.protocol.configuration import ConfigurationDocument
 from bluebellbay.protocol.configuration import LeavingMark
 from bluebellbay.protocol.status import NodeStatus
