Split what the store tells into parts, and delegations from attempts

The registry was one part for configuration, replicas and nodes; the context held delegations too; the entry's head checks stood amid its protocol. Moved into modules of their own; the parts' tables of actions are the base class's. No behaviour changes: the scenarios of routing, replicas, entry and the path pass as before.

--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/configuration.py
@@ -0,0 +1,40 @@
+"""Keeps the newest configuration in force."""
+
+from bluebellbay.coordination.routing.connection_limit import (
+    set_connection_limits,
+)
+from bluebellbay.coordination.routing.part import Actions
+from bluebellbay.coordination.routing.part import RoutingPart
+from bluebellbay.protocol.exchange import ConfigurationFound
+from bluebellbay.protocol.exchange import SetCallerLimits
+
+
+class ConfigurationPart(RoutingPart):
+    """Takes the configuration that the store holds; it never goes back."""
+
+    def list_actions(self) -> Actions:
+        """List what is done for each kind of event."""
+        return {ConfigurationFound: self._take_configuration}
+
+    def _take_configuration(
+        self, event: ConfigurationFound, now: float
+    ) -> None:
+        del now
+        former = self.state.routes.version
+        configuration = event.configuration
+        if not self.state.routes.accept(configuration):
+            if configuration.version < former:
+                self.context.log(
+                    "Kept the configuration, as the store's is older.",
+                    version=former,
+                    older=configuration.version,
+                )
+            return
+        self.context.log(
+            "Put a configuration in force.",
+            version=configuration.version,
+            former=former,
+            routes=len(configuration.routes),
+        )
+        self.context.emit(SetCallerLimits(limits=configuration.limits))
+        set_connection_limits(self.context)
--- a/packages/bluebellbay/bluebellbay/coordination/routing/context.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/context.py
@@ -7,9 +7,8 @@
 from bluebellbay.coordination.routing.admission import AdmissionTable
 from bluebellbay.coordination.routing.attempt import Attempt
 from bluebellbay.coordination.routing.attempt import Overdue
-from bluebellbay.coordination.routing.delegation import Assignment
-from bluebellbay.coordination.routing.delegation import Delegation
 from bluebellbay.coordination.routing.delegation import PeerChooser
+from bluebellbay.coordination.routing.delegations import DelegationTable
 from bluebellbay.coordination.routing.leg import Leg
 from bluebellbay.coordination.routing.patience import find_wait
 from bluebellbay.coordination.routing.retry_budget import RetryBudgetTable
@@ -20,15 +19,12 @@
 from bluebellbay.protocol.command import Field
 from bluebellbay.protocol.command import LogDecision
 from bluebellbay.protocol.exchange import CancelAttempt
-from bluebellbay.protocol.exchange import CancelDelegation
-from bluebellbay.protocol.exchange import DelegateQuery
 from bluebellbay.protocol.exchange import SendAttempt
-from bluebellbay.protocol.exchange import WithdrawDelegation
 from bluebellbay.state.replica import ReplicaRecord
 from bluebellbay.state.router import RouterState
 
 if TYPE_CHECKING:
-    from bluebellbay.coordination.routing.scatter import ScatterRun
+    pass
 
 PART = "router"
 EJECTION_FAILURES = 3
@@ -55,8 +51,8 @@
         self.peers = PeerChooser(state=state)
         self.admission = AdmissionTable()
         self.attempts: dict[int, Attempt] = {}
-        self.delegations: dict[int, Delegation] = {}
         self.doubt = False
+        self.delegations = DelegationTable(context=self)
         self._steps: list[Step] = []
         self._sent = 0
 
@@ -94,6 +90,11 @@
             )
         )
 
+    def take_number(self) -> int:
+        """Give the next attempt's number."""
+        self._sent += 1
+        return self._sent
+
     def send(
         self, leg: Leg, record: ReplicaRecord, *, repeat: bool, now: float
     ) -> Attempt:
@@ -105,7 +106,6 @@
         :param now: Present time in seconds.
         :returns: The attempt.
         """
-        self._sent += 1
         run = leg.run
         wait_s = find_wait(
             self.selector.find_pooled(run.route.name),
@@ -114,7 +114,7 @@
             use=self.budgets.find(leg.service, now).measure_use(now),
         )
         attempt = Attempt(
-            number=self._sent,
+            number=self.take_number(),
             leg=leg,
             record=record,
             sent_at=now,
@@ -225,92 +225,6 @@
             now + LINGER_S, Unwanted(context=self, attempt=attempt)
         )
 
-    def delegate(
-        self, run: "ScatterRun", assignment: Assignment, now: float
-    ) -> Delegation:
-        """Let a peer query some shards.
-
-        :param run: The query.
-        :param assignment: The peer and the shards.
-        :param now: Present time in seconds.
-        :returns: The delegation.
-        """
-        self._sent += 1
-        peer = assignment.peer
-        delegation = Delegation(
-            run=run, number=self._sent, assignment=assignment, now=now
-        )
-        self.delegations[delegation.number] = delegation
-        peer.in_flight += 1
-        for wake_at in delegation.list_wakes():
-            self.timers.add(wake_at, delegation)
-        self._steps.append(
-            DelegateQuery(
-                attempt=delegation.number,
-                request=run.request,
-                peer=peer.entry,
-                terms=delegation.build_terms(self.state.routes.version, now),
-                deadline_s=run.deadline - now,
-            )
-        )
-        return delegation
-
-    def withdraw(self, delegation: Delegation) -> None:
-        """Take a query back from a peer that can't be reached.
-
-        :param delegation: The delegation.
-        """
-        self._steps.append(WithdrawDelegation(attempt=delegation.number))
-
-    def cancel_delegation(self, delegation: Delegation) -> None:
-        """Stop a query at a peer.
-
-        :param delegation: The delegation.
-        """
-        self._steps.append(CancelDelegation(attempt=delegation.number))
-
-    def end_delegation(self, number: int) -> Delegation | None:
-        """Note that the transport has reported the end of a delegation.
-
-        :param number: Number of the attempt.
-        :returns: The delegation, if it was under way.
-        """
-        delegation = self.delegations.pop(number, None)
-        if delegation is not None:
-            delegation.peer.in_flight -= 1
-            delegation.over = True
-        return delegation
-
-    def avoid(self, delegation: Delegation, reason: str, now: float) -> None:
-        """Give a peer no queries until it answers a probe.
-
-        :param delegation: The delegation that went wrong.
-        :param reason: One short phrase.
-        :param now: Present time in seconds.
-        """
-        peer = delegation.peer
-        peer.failed_at = now
-        self.doubt = True
-        if peer.avoided_since is not None:
-            return
-        peer.avoided_since = now
-        self.log(
-            "Avoided a peer.",
-            delegation.run.request.request_id,
-            peer=peer.entry.name,
-            reason=reason,
-        )
-
-    def give_up_peer(self, name: str, now: float) -> None:
-        """Wait no longer for the queries that a peer runs.
-
-        :param name: Name of the peer.
-        :param now: Present time in seconds.
-        """
-        for delegation in tuple(self.delegations.values()):
-            if delegation.peer.entry.name == name:
-                delegation.run.give_up_peer(delegation, now)
-
     def _note_heard(self, record: ReplicaRecord, now: float) -> None:
         record.heard_at = now
         if self.state.is_far(record):
--- a/packages/bluebellbay/bluebellbay/coordination/routing/core.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/core.py
@@ -3,11 +3,13 @@
 import random
 
 from bluebellbay.coordination.facade import Facade
+from bluebellbay.coordination.routing.configuration import ConfigurationPart
 from bluebellbay.coordination.routing.context import RoutingContext
 from bluebellbay.coordination.routing.exchange import ExchangePart
 from bluebellbay.coordination.routing.isolation import IsolationPart
 from bluebellbay.coordination.routing.lifecycle import LifecyclePart
-from bluebellbay.coordination.routing.registry import RegistryPart
+from bluebellbay.coordination.routing.nodes import NodePart
+from bluebellbay.coordination.routing.replicas import ReplicaPart
 from bluebellbay.coordination.routing.rules import RouterRules
 from bluebellbay.state.router import RouterState
 
@@ -27,7 +29,9 @@
         exchanges = ExchangePart(context=self.context, rules=rules)
         super().__init__(
             parts=(
-                RegistryPart(context=self.context, rules=rules),
+                ConfigurationPart(context=self.context, rules=rules),
+                ReplicaPart(context=self.context, rules=rules),
+                NodePart(context=self.context, rules=rules),
                 exchanges,
                 IsolationPart(context=self.context, rules=rules),
                 LifecyclePart(
--- a/packages/bluebellbay/bluebellbay/coordination/routing/delegation.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/delegation.py
@@ -170,6 +170,6 @@
         """
         if not self._withdrawn:
             self._withdrawn = True
-            self.run.context.withdraw(self)
+            self.run.context.delegations.withdraw(self)
         if now >= self._silent_at:
             self.run.context.doubt = True
--- a/packages/bluebellbay/bluebellbay/coordination/routing/exchange.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/exchange.py
@@ -1,12 +1,9 @@
 """Takes requests in, and tells them how their attempts ended."""
 
-from collections.abc import Callable
-from collections.abc import Iterable
 import dataclasses
-from typing import Any
 
-from bluebellbay.coordination.base_part import Step
 from bluebellbay.coordination.routing.context import RoutingContext
+from bluebellbay.coordination.routing.part import Actions
 from bluebellbay.coordination.routing.part import RoutingPart
 from bluebellbay.coordination.routing.plain import PlainRun
 from bluebellbay.coordination.routing.rules import RouterRules
@@ -14,7 +11,6 @@
 from bluebellbay.coordination.routing.run import Run
 from bluebellbay.coordination.routing.scatter import ScatterRun
 from bluebellbay.coordination.routing.split import ServiceDrawer
-from bluebellbay.protocol.event import Event
 from bluebellbay.protocol.event import TimePassed
 from bluebellbay.protocol.exchange import AnswerKind
 from bluebellbay.protocol.exchange import AttemptFailed
@@ -40,7 +36,10 @@
         super().__init__(context=context, rules=rules)
         self._runs: dict[int, Run] = {}
         self._drawer = ServiceDrawer()
-        self._actions: dict[type, Callable[[Any, float], None]] = {
+
+    def list_actions(self) -> Actions:
+        """List what is done for each kind of event."""
+        return {
             ExchangeOpened: self._open,
             ExchangeAbandoned: self._abandon,
             AttemptReplied: self._take_reply,
@@ -50,27 +49,12 @@
             TimePassed: self._pass_time,
         }
 
-    @property
-    def handles(self) -> tuple[type, ...]:
-        """The kinds of event that the part wants to be told."""
-        return tuple(self._actions)
-
     @property
     def open_runs(self) -> int:
         """Requests under way."""
         self._forget_finished()
         return len(self._runs)
 
-    def step(self, event: Event, now: float) -> Iterable[Step]:
-        """Take one event.
-
-        :param event: The event.
-        :param now: Present time in seconds.
-        :returns: Commands, in order.
-        """
-        self._actions[type(event)](event, now)
-        return self.context.drain()
-
     def next_wake(self) -> float | None:
         """Name the time at which ``TimePassed`` is due."""
         return self.context.timers.next_time()
@@ -180,9 +164,9 @@
             attempt.leg.take_refusal(attempt, event.kind, now)
 
     def _take_failure(self, event: AttemptFailed, now: float) -> None:
-        delegation = self.context.end_delegation(event.attempt)
+        delegation = self.context.delegations.end(event.attempt)
         if delegation is not None:
-            self.context.avoid(delegation, event.reason, now)
+            self.context.delegations.avoid(delegation, event.reason, now)
             delegation.run.lose_peer(delegation, sent=event.sent, now=now)
             return
         attempt = self.context.end(event.attempt)
@@ -192,7 +176,7 @@
         attempt.leg.take_failure(attempt, sent=event.sent, now=now)
 
     def _take_delegation(self, event: DelegationAnswered, now: float) -> None:
-        delegation = self.context.end_delegation(event.attempt)
+        delegation = self.context.delegations.end(event.attempt)
         if delegation is not None:
             delegation.run.take_answer(delegation, event.answer, now)
 
--- a/packages/bluebellbay/bluebellbay/coordination/routing/isolation.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/isolation.py
@@ -1,12 +1,9 @@
 """Finds out whether this node is cut off from the other failure domains."""
 
-from collections.abc import Iterable
-
-from bluebellbay.coordination.base_part import Step
 from bluebellbay.coordination.routing.context import RoutingContext
+from bluebellbay.coordination.routing.part import Actions
 from bluebellbay.coordination.routing.part import RoutingPart
 from bluebellbay.coordination.routing.rules import RouterRules
-from bluebellbay.protocol.event import Event
 from bluebellbay.protocol.event import TimePassed
 from bluebellbay.protocol.exchange import PeerProbed
 from bluebellbay.protocol.exchange import ProbePeer
@@ -32,33 +29,28 @@
         self._probing: set[str] = set()
         self._next_at: float | None = None
 
-    @property
-    def handles(self) -> tuple[type, ...]:
-        """The kinds of event that the part wants to be told."""
-        return (PeerProbed, TimePassed)
+    def list_actions(self) -> Actions:
+        """List what is done for each kind of event."""
+        return {PeerProbed: self._take_probe, TimePassed: self._look}
 
-    def step(self, event: Event, now: float) -> Iterable[Step]:
-        """Take one event.
+    def next_wake(self) -> float | None:
+        """Name the time at which ``TimePassed`` is due."""
+        return self._next_at
 
-        :param event: The event.
-        :param now: Present time in seconds.
-        :returns: Commands, in order.
-        """
-        if isinstance(event, PeerProbed):
-            self._take_probe(event, now)
+    def _look(self, event: object, now: float) -> None:
+        del event
         if self.context.doubt:
             self.context.doubt = False
             self._probe(self._list_far(), now)
         elif self._next_at is not None and now >= self._next_at:
             self._probe(self._list_avoided(), now)
         self._judge(now)
-        return self.context.drain()
-
-    def next_wake(self) -> float | None:
-        """Name the time at which ``TimePassed`` is due."""
-        return self._next_at
 
     def _take_probe(self, event: PeerProbed, now: float) -> None:
+        self._note_probe(event, now)
+        self._look(event, now)
+
+    def _note_probe(self, event: PeerProbed, now: float) -> None:
         self._probing.discard(event.name)
         peer = self.state.peers.get(event.name)
         if peer is None:
@@ -72,7 +64,7 @@
         if peer.avoided_since is None:
             peer.avoided_since = now
             self.context.log("Lost a peer.", peer=event.name)
-        self.context.give_up_peer(event.name, now)
+        self.context.delegations.give_up_peer(event.name, now)
 
     def _probe(self, peers: list[PeerRecord], now: float) -> None:
         for peer in peers:
--- a/packages/bluebellbay/bluebellbay/coordination/routing/lifecycle.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/lifecycle.py
@@ -1,16 +1,13 @@
 """Says when the node is ready, and ends it without cutting requests."""
 
-from collections.abc import Iterable
-
-from bluebellbay.coordination.base_part import Step
 from bluebellbay.coordination.routing.context import RoutingContext
 from bluebellbay.coordination.routing.exchange import ExchangePart
 from bluebellbay.coordination.routing.objective import count_least
+from bluebellbay.coordination.routing.part import Actions
 from bluebellbay.coordination.routing.part import RoutingPart
 from bluebellbay.coordination.routing.rules import RouterRules
 from bluebellbay.protocol.command import ReportHealth
 from bluebellbay.protocol.command import StopProcess
-from bluebellbay.protocol.event import Event
 from bluebellbay.protocol.event import ShutdownRequested
 from bluebellbay.protocol.event import TimePassed
 from bluebellbay.protocol.exchange import ConfigurationFound
@@ -48,36 +45,31 @@
         self._asked_at: float | None = None
         self._check_at: float | None = None
 
-    @property
-    def handles(self) -> tuple[type, ...]:
-        """The kinds of event that the part wants to be told."""
-        return (
-            ConfigurationFound,
-            ReplicasListed,
-            ReplicaSeen,
-            ReplicaUnlisted,
-            PeerProbed,
-            ShutdownRequested,
-            TimePassed,
-        )
+    def list_actions(self) -> Actions:
+        """List what is done for each kind of event."""
+        return {
+            ConfigurationFound: self._look,
+            ReplicasListed: self._look,
+            ReplicaSeen: self._look,
+            ReplicaUnlisted: self._look,
+            PeerProbed: self._look,
+            ShutdownRequested: self._take_request,
+            TimePassed: self._look,
+        }
+
+    def next_wake(self) -> float | None:
+        """Name the time at which ``TimePassed`` is due."""
+        return self._check_at
 
-    def step(self, event: Event, now: float) -> Iterable[Step]:
-        """Take one event.
+    def _take_request(self, event: ShutdownRequested, now: float) -> None:
+        self._begin_shutdown(now)
+        self._look(event, now)
 
-        :param event: The event.
-        :param now: Present time in seconds.
-        :returns: Commands, in order.
-        """
-        if isinstance(event, ShutdownRequested):
-            self._begin_shutdown(now)
+    def _look(self, event: object, now: float) -> None:
+        del event
         self._report_ready()
         if self._check_at is not None and now >= self._check_at:
             self._check_end(now)
-        return self.context.drain()
-
-    def next_wake(self) -> float | None:
-        """Name the time at which ``TimePassed`` is due."""
-        return self._check_at
 
     def _report_ready(self) -> None:
         ready = (
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/nodes.py
@@ -0,0 +1,72 @@
+"""Counts the nodes that share limits with this one."""
+
+from bluebellbay.coordination.routing.connection_limit import (
+    set_connection_limits,
+)
+from bluebellbay.coordination.routing.part import Actions
+from bluebellbay.coordination.routing.part import RoutingPart
+from bluebellbay.protocol.exchange import NodeSeen
+from bluebellbay.protocol.exchange import NodesListed
+from bluebellbay.protocol.exchange import NodeUnlisted
+from bluebellbay.protocol.node import NodeEntry
+from bluebellbay.state.peer import PeerRecord
+
+# A node whose lease has ended may still be cut off and at work.
+NODE_LINGER_S = 60.0
+
+
+class NodePart(RoutingPart):
+    """Counts nodes by their leases, and for a while after these have ended."""
+
+    def list_actions(self) -> Actions:
+        """List what is done for each kind of event."""
+        return {
+            NodesListed: self._take_nodes,
+            NodeSeen: self._take_node,
+            NodeUnlisted: self._take_node_removal,
+        }
+
+    def _take_nodes(self, event: NodesListed, now: float) -> None:
+        listed = {node.name for node in event.nodes}
+        for name, peer in self.state.peers.items():
+            if name not in listed and peer.gone_at is None:
+                peer.gone_at = now
+        for node in event.nodes:
+            self._add_node(node)
+        self._count_nodes(now)
+
+    def _take_node(self, event: NodeSeen, now: float) -> None:
+        self._add_node(event.node)
+        self._count_nodes(now)
+
+    def _take_node_removal(self, event: NodeUnlisted, now: float) -> None:
+        peer = self.state.peers.get(event.name)
+        if peer is not None and peer.gone_at is None:
+            peer.gone_at = now
+        self._count_nodes(now)
+
+    def _add_node(self, node: NodeEntry) -> None:
+        if node.name == self.rules.node:
+            return
+        peer = self.state.peers.get(node.name)
+        if peer is None:
+            self.state.peers[node.name] = PeerRecord(entry=node)
+            return
+        if peer.entry != node:
+            peer.avoided_since = None
+        peer.entry = node
+        peer.gone_at = None
+
+    def _count_nodes(self, now: float) -> None:
+        for name, peer in tuple(self.state.peers.items()):
+            gone_at = peer.gone_at
+            if gone_at is not None and now >= gone_at + NODE_LINGER_S:
+                del self.state.peers[name]
+        count = len(self.state.peers) + 1
+        if count == self.state.nodes:
+            return
+        self.context.log(
+            "Counted the nodes.", nodes=count, former=self.state.nodes
+        )
+        self.state.nodes = count
+        set_connection_limits(self.context)
--- a/packages/bluebellbay/bluebellbay/coordination/routing/part.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/part.py
@@ -1,10 +1,18 @@
 """The base class of the parts of the routing core."""
 
 import abc
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import Any
 
 from bluebellbay.coordination.base_part import BasePart
+from bluebellbay.coordination.base_part import Step
 from bluebellbay.coordination.routing.context import RoutingContext
 from bluebellbay.coordination.routing.rules import RouterRules
+from bluebellbay.protocol.event import Event
+
+Actions = Mapping[type, Callable[[Any, float], None]]
 
 
 class RoutingPart(BasePart, abc.ABC):
@@ -18,3 +26,23 @@
         self.context = context
         self.state = context.state
         self.rules = rules
+        self._actions = self.list_actions()
+
+    @abc.abstractmethod
+    def list_actions(self) -> Actions:
+        """List what is done for each kind of event."""
+
+    @property
+    def handles(self) -> tuple[type, ...]:
+        """The kinds of event that the part wants to be told."""
+        return tuple(self._actions)
+
+    def step(self, event: Event, now: float) -> Iterable[Step]:
+        """Take one event.
+
+        :param event: The event.
+        :param now: Present time in seconds.
+        :returns: Commands, in order.
+        """
+        self._actions[type(event)](event, now)
+        return self.context.drain()
--- a/packages/bluebellbay/bluebellbay/coordination/routing/registry.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/replicas.py
@@ -1,42 +1,30 @@
 """Keeps the table of replicas in step with the store."""
 
-from collections.abc import Callable
-from collections.abc import Iterable
 import math
-from typing import Any
 
-from bluebellbay.coordination.base_part import Step
+from bluebellbay.coordination.routing.connection_limit import (
+    set_connection_limit,
+)
 from bluebellbay.coordination.routing.context import RoutingContext
+from bluebellbay.coordination.routing.part import Actions
 from bluebellbay.coordination.routing.part import RoutingPart
 from bluebellbay.coordination.routing.rules import RouterRules
-from bluebellbay.protocol.event import Event
 from bluebellbay.protocol.event import TimePassed
-from bluebellbay.protocol.exchange import ConfigurationFound
 from bluebellbay.protocol.exchange import ForgetReplica
-from bluebellbay.protocol.exchange import NodeSeen
-from bluebellbay.protocol.exchange import NodesListed
-from bluebellbay.protocol.exchange import NodeUnlisted
 from bluebellbay.protocol.exchange import ReplicaSeen
 from bluebellbay.protocol.exchange import ReplicasListed
 from bluebellbay.protocol.exchange import ReplicaUnlisted
-from bluebellbay.protocol.exchange import SetCallerLimits
-from bluebellbay.protocol.exchange import SetConnectionLimit
 from bluebellbay.protocol.exchange import StoreLost
 from bluebellbay.protocol.exchange import StoreRegained
-from bluebellbay.protocol.node import NodeEntry
 from bluebellbay.protocol.replica import ReplicaEntry
-from bluebellbay.state.peer import PeerRecord
 from bluebellbay.state.replica import ReplicaRecord
 
 # Entries that lapsed during an outage are written again within two seconds.
 REWRITE_S = 2.2
-MOST_CONNECTIONS = 8
-# A node whose lease has ended may still be cut off and at work.
-NODE_LINGER_S = 60.0
 
 
-class RegistryPart(RoutingPart):
-    """Takes what the store holds: configuration, replicas and nodes.
+class ReplicaPart(RoutingPart):
+    """Takes the entries of replicas that the store holds.
 
     :param context: What the requests of this node share.
     :param rules: What the node must keep to.
@@ -47,34 +35,18 @@
         self._store_lost = False
         self._regained_at = -math.inf
         self._unlisted: dict[str, None] = {}
-        self._actions: dict[type, Callable[[Any, float], None]] = {
-            ConfigurationFound: self._take_configuration,
+
+    def list_actions(self) -> Actions:
+        """List what is done for each kind of event."""
+        return {
             ReplicasListed: self._take_list,
             ReplicaSeen: self._take_entry,
             ReplicaUnlisted: self._take_removal,
-            NodesListed: self._take_nodes,
-            NodeSeen: self._take_node,
-            NodeUnlisted: self._take_node_removal,
             StoreLost: self._lose_store,
             StoreRegained: self._regain_store,
             TimePassed: self._pass_time,
         }
 
-    @property
-    def handles(self) -> tuple[type, ...]:
-        """The kinds of event that the part wants to be told."""
-        return tuple(self._actions)
-
-    def step(self, event: Event, now: float) -> Iterable[Step]:
-        """Take one event.
-
-        :param event: The event.
-        :param now: Present time in seconds.
-        :returns: Commands, in order.
-        """
-        self._actions[type(event)](event, now)
-        return self.context.drain()
-
     def next_wake(self) -> float | None:
         """Name the time at which ``TimePassed`` is due."""
         if self._store_lost:
@@ -83,29 +55,6 @@
             (self._find_end(name) for name in self._unlisted), default=None
         )
 
-    def _take_configuration(
-        self, event: ConfigurationFound, now: float
-    ) -> None:
-        del now
-        former = self.state.routes.version
-        configuration = event.configuration
-        if not self.state.routes.accept(configuration):
-            if configuration.version < former:
-                self.context.log(
-                    "Kept the configuration, as the store's is older.",
-                    version=former,
-                    older=configuration.version,
-                )
-            return
-        self.context.log(
-            "Put a configuration in force.",
-            version=configuration.version,
-            former=former,
-            routes=len(configuration.routes),
-        )
-        self.context.emit(SetCallerLimits(limits=configuration.limits))
-        self._set_connection_limits()
-
     def _take_list(self, event: ReplicasListed, now: float) -> None:
         listed = {entry.replica_id for entry in event.entries}
         for entry in event.entries:
@@ -150,7 +99,7 @@
         record = ReplicaRecord(entry=entry, added_at=now)
         self.state.replicas.add(record)
         self._log_entry("Added a replica.", entry)
-        self._set_connection_limit(record)
+        set_connection_limit(self.context, record)
 
     def _unlist(self, record: ReplicaRecord, now: float) -> None:
         if record.unlisted_at is not None:
@@ -174,51 +123,6 @@
         self._log_entry("Removed a replica.", record.entry)
         self.context.emit(ForgetReplica(replica=record.entry))
 
-    def _take_nodes(self, event: NodesListed, now: float) -> None:
-        listed = {node.name for node in event.nodes}
-        for name, peer in self.state.peers.items():
-            if name not in listed and peer.gone_at is None:
-                peer.gone_at = now
-        for node in event.nodes:
-            self._add_node(node)
-        self._count_nodes(now)
-
-    def _take_node(self, event: NodeSeen, now: float) -> None:
-        self._add_node(event.node)
-        self._count_nodes(now)
-
-    def _take_node_removal(self, event: NodeUnlisted, now: float) -> None:
-        peer = self.state.peers.get(event.name)
-        if peer is not None and peer.gone_at is None:
-            peer.gone_at = now
-        self._count_nodes(now)
-
-    def _add_node(self, node: NodeEntry) -> None:
-        if node.name == self.rules.node:
-            return
-        peer = self.state.peers.get(node.name)
-        if peer is None:
-            self.state.peers[node.name] = PeerRecord(entry=node)
-            return
-        if peer.entry != node:
-            peer.avoided_since = None
-        peer.entry = node
-        peer.gone_at = None
-
-    def _count_nodes(self, now: float) -> None:
-        for name, peer in tuple(self.state.peers.items()):
-            gone_at = peer.gone_at
-            if gone_at is not None and now >= gone_at + NODE_LINGER_S:
-                del self.state.peers[name]
-        count = len(self.state.peers) + 1
-        if count == self.state.nodes:
-            return
-        self.context.log(
-            "Counted the nodes.", nodes=count, former=self.state.nodes
-        )
-        self.state.nodes = count
-        self._set_connection_limits()
-
     def _lose_store(self, event: StoreLost, now: float) -> None:
         del now
         if not self._store_lost:
@@ -250,19 +154,6 @@
                 continue
             self._remove(record)
 
-    def _set_connection_limits(self) -> None:
-        for record in self.state.replicas:
-            self._set_connection_limit(record)
-
-    def _set_connection_limit(self, record: ReplicaRecord) -> None:
-        entry = record.entry
-        accepted = self.state.routes.count_connections(entry.service)
-        share = max(1, accepted // max(1, self.state.nodes))
-        most = max(MOST_CONNECTIONS, 2 * entry.slots)
-        self.context.emit(
-            SetConnectionLimit(replica=entry, limit=min(share, most))
-        )
-
     def _log_entry(self, sentence: str, entry: ReplicaEntry) -> None:
         self.context.log(
             sentence,
--- a/packages/bluebellbay/bluebellbay/coordination/routing/scatter.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/scatter.py
@@ -2,6 +2,7 @@
 
 from bluebellbay.coordination.routing.admission import AdmissionLimit
 from bluebellbay.coordination.routing.context import RoutingContext
+from bluebellbay.coordination.routing.delegation import Assignment
 from bluebellbay.coordination.routing.delegation import Delegation
 from bluebellbay.coordination.routing.leg import Leg
 from bluebellbay.coordination.routing.leg import LossReason
@@ -93,7 +94,9 @@
             for assignment in self.context.peers.assign(
                 self._rule.shards, now
             ):
-                delegation = self.context.delegate(self, assignment, now)
+                delegation = self.context.delegations.send(
+                    self, assignment, now
+                )
                 self._delegations[delegation.number] = delegation
                 for shard in assignment.shards:
                     del near[shard]
@@ -171,7 +174,7 @@
         :param now: Present time in seconds.
         """
         if self._drop(delegation):
-            self.context.cancel_delegation(delegation)
+            self.context.delegations.cancel(delegation)
             self._do_without(delegation, ran=True, now=now)
 
     def stop_legs(self, now: float, *, abandoned: bool) -> None:
@@ -187,7 +190,7 @@
             if not abandoned and now < self.objective_at:
                 limit.note_in_time()
         for delegation in self._delegations.values():
-            self.context.cancel_delegation(delegation)
+            self.context.delegations.cancel(delegation)
             self._ran_elsewhere = True
         self._delegations = {}
 
@@ -196,6 +199,10 @@
         elsewhere = self._ran_elsewhere or self._merged or self._delegations
         return bool(elsewhere) or super().may_have_run()
 
+    def _delegate(self, assignment: Assignment, now: float) -> None:
+        delegation = self.context.delegations.send(self, assignment, now)
+        self._delegations[delegation.number] = delegation
+
     def _has_enough(self, now: float) -> bool:
         selector = self.context.selector
         usable = sum(
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/transport/_request_head.py
@@ -0,0 +1,55 @@
+"""Checks the heads of callers' requests beyond what the parser does."""
+
+from collections.abc import Sequence
+
+from bluebellbay.protocol.route import CallerLimits
+from bluebellbay.transport.connection import Header
+
+BAD_REQUEST = 400
+TIMED_OUT = 408
+BODY_TOO_LARGE = 413
+HEAD_TOO_LARGE = 431
+# Colon, space and line end of a header line.
+SEPARATOR_BYTES = 4
+
+
+class RejectedRequest(Exception):
+    """A request can't be read.
+
+    :param status: HTTP status of its answer.
+    """
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+def check_head(
+    headers: Sequence[Header], target: bytes, limits: CallerLimits
+) -> None:
+    """Check that a head is bounded and can be read in one way only.
+
+    :param headers: Names in lower case, and values.
+    :param target: Path and query.
+    :param limits: The bounds.
+    :raises RejectedRequest: If the request must not be passed on.
+    """
+    size = len(target) + sum(
+        len(name) + len(value) + SEPARATOR_BYTES for name, value in headers
+    )
+    if size > limits.header_bytes:
+        raise RejectedRequest(HEAD_TOO_LARGE)
+    names = [name for name, _ in headers]
+    lengths = [value for name, value in headers if name == b"content-length"]
+    if (
+        names.count(b"host") != 1
+        or len(lengths) > 1
+        or (lengths and b"transfer-encoding" in names)
+        or not target.startswith(b"/")
+    ):
+        raise RejectedRequest(BAD_REQUEST)
+    for length in lengths:
+        if not length.isdigit():
+            raise RejectedRequest(BAD_REQUEST)
+        if int(length) > limits.body_bytes:
+            raise RejectedRequest(BODY_TOO_LARGE)
--- a/packages/bluebellbay/bluebellbay/transport/entry.py
+++ b/packages/bluebellbay/bluebellbay/transport/entry.py
@@ -16,6 +16,12 @@
 from bluebellbay.protocol.exchange import ExchangeOpened
 from bluebellbay.protocol.route import CallerLimits
 from bluebellbay.transport._address import parse_address
+from bluebellbay.transport._request_head import BAD_REQUEST
+from bluebellbay.transport._request_head import BODY_TOO_LARGE
+from bluebellbay.transport._request_head import check_head
+from bluebellbay.transport._request_head import HEAD_TOO_LARGE
+from bluebellbay.transport._request_head import RejectedRequest
+from bluebellbay.transport._request_head import TIMED_OUT
 from bluebellbay.transport.connection import Header
 from bluebellbay.transport.interface import Report
 from bluebellbay.transport.wire import EntryWire
@@ -31,17 +37,6 @@
 PROBE_ANSWER = b"HTTP/1.1 204 No Content\r\n\r\n"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
-BAD_REQUEST = 400
-BODY_TOO_LARGE = 413
-HEAD_TOO_LARGE = 431
-TIMED_OUT = 408
-
-
-class _Rejected(Exception):
-    def __init__(self, status: int) -> None:
-        super().__init__(status)
-        self.status = status
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Whole:
@@ -115,8 +110,8 @@
                 not self._in_body
                 and self._head_bytes > self._limits.header_bytes
             ):
-                raise _Rejected(HEAD_TOO_LARGE)
-        except _Rejected as rejected:
+                raise RejectedRequest(HEAD_TOO_LARGE)
+        except RejectedRequest as rejected:
             self._reject(rejected.status)
             return
         except (
@@ -124,7 +119,9 @@
             httptools.HttpParserUpgrade,
         ) as error:
             cause = error.__context__
-            status = cause.status if isinstance(cause, _Rejected) else None
+            status = (
+                cause.status if isinstance(cause, RejectedRequest) else None
+            )
             self._reject(status or BAD_REQUEST)
             return
         if len(self._waiting) > MOST_WAITING:
@@ -155,7 +152,7 @@
 
     def on_headers_complete(self) -> None:
         """Check the head; called by the parser."""
-        self._check_head()
+        check_head(self._headers, bytes(self._target), self._limits)
         self._in_body = True
         self._head_bytes = 0
         if (b"expect", b"100-continue") in self._headers:
@@ -168,7 +165,7 @@
         """
         self._body_bytes += len(body)
         if self._body_bytes > self._limits.body_bytes:
-            raise _Rejected(BODY_TOO_LARGE)
+            raise RejectedRequest(BODY_TOO_LARGE)
         self._chunks.append(body)
 
     def on_message_complete(self) -> None:
@@ -242,29 +239,6 @@
         self._head_bytes = 0
         self._in_body = False
 
-    def _check_head(self) -> None:
-        names = [name for name, _ in self._headers]
-        size = sum(len(name) + len(value) + 4 for name, value in self._headers)
-        if size + len(self._target) > self._limits.header_bytes:
-            raise _Rejected(HEAD_TOO_LARGE)
-        framed_twice = b"transfer-encoding" in names and (
-            b"content-length" in names
-        )
-        if (
-            names.count(b"host") != 1
-            or framed_twice
-            or names.count(b"content-length") > 1
-            or not self._target.startswith(b"/")
-        ):
-            raise _Rejected(BAD_REQUEST)
-        for name, value in self._headers:
-            if name == b"content-length" and (
-                not value.isdigit() or int(value) > self._limits.body_bytes
-            ):
-                raise _Rejected(
-                    BODY_TOO_LARGE if value.isdigit() else BAD_REQUEST
-                )
-
     def _serve_next(self) -> None:
         if self._exchange is not None or self._closing or not self._waiting:
             return
@@ -302,6 +276,14 @@
         self.transport.loseConnection()
 
 
+def _find_status(error: Exception) -> int:
+    # The parser wraps what its call-backs raise.
+    cause = error.__context__
+    if isinstance(cause, RejectedRequest):
+        return cause.status
+    return BAD_REQUEST
+
+
 class _Factory(ServerFactory):
     noisy = False
 
