--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -20,28 +20,32 @@
 
 @behave.given("the program runs")
 def step_run(context):
-    context.platform.start()
+    context.platform.program.start()
     step_ready(context)
 
 
 @behave.given("the program runs, not ready")
 def step_run_not_ready(context):
     platform = context.platform
-    platform.start()
-    page = platform.ports[1]
-    assert wait_for(lambda: platform.read_page(page, "/-/ready")[0] == 503)
+    platform.program.start()
+    page = platform.program.ports[1]
+    assert wait_for(
+        lambda: platform.program.read_page(page, "/-/ready")[0] == 503
+    )
 
 
 @behave.then("the program is ready")
 def step_ready(context):
     platform = context.platform
-    assert wait_for(platform.is_ready), platform.log.read_text()
+    assert wait_for(platform.program.is_ready), (
+        platform.program.log.read_text()
+    )
     # Ready with the first replica; the path is tried with all of them.
     assert wait_for(lambda: read_gauge(platform, "bluebellbay_replicas") == 6)
 
 
 def read_gauge(platform, name):
-    _, page = platform.read_page(platform.ports[3], "/metrics")
+    _, page = platform.program.read_page(platform.program.ports[3], "/metrics")
     for line in page.decode().splitlines():
         if line.startswith(f"{name} "):
             return float(line.split()[1])
@@ -67,7 +71,7 @@
 @behave.then("a query is answered from 4 shards with the greatest records")
 def step_query(context):
     platform = context.platform
-    answer, body = platform.call("/query/1")
+    answer, body = platform.program.call("/query/1")
     assert answer.status == 200, answer.status
     digests = answer.headers["Bluebellbay-Shard-Signatures"].split(", ")
     expected = {f"digest-{shard.replica_id}" for shard in platform.shards}
@@ -87,7 +91,7 @@
 @behave.then("a posting reaches a server once, with its body unchanged")
 def step_posting(context):
     body = bytes(range(256)) * 300
-    answer, echo = context.platform.call(
+    answer, echo = context.platform.program.call(
         "/post/2?q=%20", method="POST", body=body
     )
     assert answer.status == 200
@@ -99,24 +103,26 @@
 
 @behave.then("an unknown path is answered 404")
 def step_unknown(context):
-    assert context.platform.call("/nowhere/")[0].status == 404
+    assert context.platform.program.call("/nowhere/")[0].status == 404
 
 
 @behave.then("the metrics tell of the requests")
 def step_metrics(context):
-    _, page = context.platform.read_page(context.platform.ports[3], "/")
+    _, page = context.platform.program.read_page(
+        context.platform.program.ports[3], "/"
+    )
     assert b'bluebellbay_exchange_seconds_count{outcome="whole"} 1.0' in page
     assert b"bluebellbay_configuration_version 7.0" in page
 
 
 @behave.when("the operator moves the posting route to another path")
 def step_move(context):
-    context.platform.configure(9, "/moved/")
+    context.platform.configure(9, "/moved/", context.platform.shards)
 
 
 @behave.then("within 3 s the new path is served and the old one is not")
 def step_moved(context):
-    call = context.platform.call
+    call = context.platform.program.call
     assert wait_for(
         lambda: call("/moved/1", method="POST")[0].status == 200, IN_FORCE_S
     )
@@ -125,13 +131,13 @@
 
 @behave.when("an older configuration is written")
 def step_older(context):
-    context.platform.configure(8, "/post/")
+    context.platform.configure(8, "/post/", context.platform.shards)
     time.sleep(1.0)
 
 
 @behave.then("the new path is still served")
 def step_still(context):
-    call = context.platform.call
+    call = context.platform.program.call
     assert call("/moved/2", method="POST")[0].status == 200
     assert call("/post/2", method="POST")[0].status == 404
 
@@ -151,7 +157,7 @@
     drained = context.platform.posting[0]
     before = len(drained.ran)
     for number in range(10):
-        answer, _ = context.platform.call(
+        answer, _ = context.platform.program.call(
             f"/post/{number}", method="POST", body=b"x", number=number
         )
         assert answer.status == 200
@@ -160,7 +166,7 @@
 
 @behave.then("a query is answered 503 with a time to come back")
 def step_not_configured(context):
-    answer, _ = context.platform.call("/query/1")
+    answer, _ = context.platform.program.call("/query/1")
     assert answer.status == 503
     assert float(answer.headers["Retry-After"]) > 0
 
@@ -173,7 +179,7 @@
     context.answers = []
     context.caller = threading.Thread(
         target=lambda: context.answers.append(
-            platform.call("/post/1", method="POST", body=b"kept")
+            platform.program.call("/post/1", method="POST", body=b"kept")
         )
     )
     context.caller.start()
@@ -182,12 +188,12 @@
 
 @behave.when("the program is asked to end")
 def step_end(context):
-    context.platform.process.send_signal(signal.SIGTERM)
+    context.platform.program.process.send_signal(signal.SIGTERM)
 
 
 @behave.then("it is not ready at once")
 def step_not_ready(context):
-    assert wait_for(lambda: not context.platform.is_ready(), 1.0)
+    assert wait_for(lambda: not context.platform.program.is_ready(), 1.0)
 
 
 @behave.then("the posting is answered whole")
@@ -201,18 +207,18 @@
 
 @behave.then("the program ends with exit code 0")
 def step_ended(context):
-    assert context.platform.process.wait(AMPLE_S) == 0
+    assert context.platform.program.process.wait(AMPLE_S) == 0
 
 
 @behave.given("settings without the address of the store")
 def step_bad_settings(context):
     step_world(context)
-    context.platform.start(store=False)
+    context.platform.program.start(store=False)
 
 
 @behave.then("the program ends with exit code 2 and names the fault")
 def step_bad_end(context):
-    assert context.platform.process.wait(AMPLE_S) == 2
-    log = context.platform.log.read_text()
+    assert context.platform.program.process.wait(AMPLE_S) == 2
+    log = context.platform.program.log.read_text()
     assert "address" in log
     assert "Settings can't be used" in log
--- a/features/steps/platform_world.py
+++ b/features/steps/platform_world.py
@@ -16,13 +16,17 @@
 from urllib.parse import parse_qs
 from urllib.parse import urlsplit
 
+from bluebellbay_standins.process import name_host
+
 HOST = "calls.example"
+# Ports found free here stay free: nothing else listens on this address.
+LOOPBACK = name_host(200)
 AMPLE_S = 60
 POLL_S = 0.05
 
 
 def find_ports(count):
-    probes = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    probes = [socket.create_server((LOOPBACK, 0)) for _ in range(count)]
     ports = [probe.getsockname()[1] for probe in probes]
     for probe in probes:
         probe.close()
@@ -77,9 +81,11 @@
             do_DELETE = do_GET  # noqa: N815
 
         self._server = http.server.ThreadingHTTPServer(
-            ("127.0.0.1", self.port), Bound
+            (LOOPBACK, self.port), Bound
         )
         self._server.daemon_threads = True
+        # Callers that are killed reset their connections.
+        self._server.handle_error = lambda *arguments: None
         self.port = self._server.server_address[1]
         threading.Thread(
             target=self._server.serve_forever, args=(POLL_S,), daemon=True
@@ -170,6 +176,8 @@
         self.service = service
         self.ran = []
         self.delay_s = 0.0
+        # What it does with requests: serve, break off after it ran, refuse.
+        self.mode = "serve"
         self.server = Server(self._handle)
         self.records = b"".join(
             f"{replica_id}-{number}".ljust(16)[:16].encode()
@@ -179,7 +187,7 @@
     def describe(self, **fields):
         return {
             "service": self.service,
-            "address": f"127.0.0.1:{self.server.port}",
+            "address": f"{LOOPBACK}:{self.server.port}",
             "zone": "zone-a",
             "max-concurrency": 4,
             "state": "ready",
@@ -194,8 +202,14 @@
         if headers["Bluebellbay-Target-Instance"] != self.replica_id:
             request.answer(421)
             return
+        if self.mode == "refuse":
+            request.answer(503, Bluebellbay_Not_Executed="1")
+            return
         self.ran.append((request.command, request.path, body))
         time.sleep(self.delay_s)
+        if self.mode == "break":
+            request.close_connection = True
+            return
         request.answer(
             200,
             body or self.records,
@@ -204,138 +218,79 @@
         )
 
 
-class PlatformWorld:
-    """A store, replicas, and the program that is tried."""
+class Program:
+    """One process of the program, on ports of its own."""
 
-    def __init__(self):
-        self.folder = tempfile.TemporaryDirectory()
-        self.ports = find_ports(5)
-        self.store = StoreStandIn()
-        self.shards = [
-            ReplicaStandIn(f"shard-{number}", f"shard-{number}")
-            for number in range(4)
-        ]
-        self.posting = [
-            ReplicaStandIn(f"posting-{number}", "posting")
-            for number in range(2)
-        ]
+    def __init__(self, *, name, folder, store_port):
+        self.name = name
         self.process = None
-        self.log = pathlib.Path(self.folder.name) / "log"
-        for replica in (*self.shards, *self.posting):
-            self.store.put(f"servers/{replica.replica_id}", replica.describe())
-        self.configure(7, "/post/")
-
-    def configure(self, version, prefix):
-        common = {
-            "hostname": HOST,
-            "timeout-ms": 5000,
-            "target-latency-ms": 2000,
-            "max-attempts": 2,
-        }
-        services = [replica.service for replica in self.shards]
-        self.store.put(
-            "op/config",
-            {
-                "version": version,
-                "routes": [
-                    {
-                        **common,
-                        "name": "query",
-                        "prefix": "/query/",
-                        "type": "safe",
-                        "fanout-services": services,
-                        "top-k": 5,
-                        "min-shard-ratio": 0.75,
-                    },
-                    {
-                        **common,
-                        "name": "post",
-                        "prefix": prefix,
-                        "type": "unsafe",
-                        "service": "posting",
-                    },
-                ],
-                "services": [
-                    {"name": name, "max-connections": 26}
-                    for name in (*services, "posting")
-                ],
-                "limits": {
-                    "max-header-bytes": 16384,
-                    "max-body-bytes": 262144,
-                    "header-timeout-ms": 3000,
-                    "idle-timeout-ms": 15000,
-                },
-            },
-        )
+        self.ports = find_ports(4)
+        self.log = pathlib.Path(folder) / f"{name}.log"
+        self._settings = pathlib.Path(folder) / f"{name}.toml"
+        self._store_port = store_port
 
     def write_settings(self, *, store=True):
-        callers, health, peers, _, _ = self.ports
+        callers, health, peers, _ = self.ports
         text = f"""
-node-name = "node-1"
+node-name = "{self.name}"
 zone = "zone-a"
-ip-address = "127.0.0.1"
+ip-address = "{LOOPBACK}"
 is-bootstrap = true
 internal-port-range = [{peers}, {peers}]
 [bind-addresses]
-front = "127.0.0.1:{callers}"
-readiness = "127.0.0.1:{health}"
+front = "{LOOPBACK}:{callers}"
+readiness = "{LOOPBACK}:{health}"
 [bounds]
 grace-s = 20
 retry-budget-slack = 58
 [platform]
 """
         if store:
-            text += f'address = "127.0.0.1:{self.store.server.port}"\n'
-        path = pathlib.Path(self.folder.name) / "settings.toml"
-        path.write_text(text, encoding="utf-8")
-        return path
+            text += f'address = "{LOOPBACK}:{self._store_port}"\n'
+        self._settings.write_text(text, encoding="utf-8")
 
     def start(self, **settings):
+        self.write_settings(**settings)
         environment = {
             **os.environ,
-            "BLUEBELLBAY_BOOT": str(self.write_settings(**settings)),
+            "BLUEBELLBAY_BOOT": str(self._settings),
         }
-        with self.log.open("wb") as log:
+        command = [
+            sys.executable,
+            "-m",
+            "bluebellbay_platform",
+            "--metrics-port",
+            str(self.ports[3]),
+        ]
+        with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                [
-                    sys.executable,
-                    "-m",
-                    "bluebellbay_platform",
-                    "--metrics-port",
-                    str(self.ports[3]),
-                ],
-                stdout=log,
-                stderr=subprocess.STDOUT,
-                env=environment,
+                command, stdout=log, stderr=subprocess.STDOUT, env=environment
             )
 
-    def stop(self):
+    def kill(self):
         if self.process is not None and self.process.poll() is None:
             self.process.kill()
             self.process.wait(AMPLE_S)
-        for replica in (*self.shards, *self.posting):
-            replica.server.stop()
-        self.store.server.stop()
-        self.folder.cleanup()
 
     def call(self, path, *, method="GET", body=None, number=1):
         connection = http.client.HTTPConnection(
-            "127.0.0.1", self.ports[0], timeout=AMPLE_S
+            LOOPBACK, self.ports[0], timeout=AMPLE_S
         )
         headers = {
             "Host": HOST,
             "Bluebellbay-Request-Id": f"id-{number}",
             "Bluebellbay-Deadline-Ms": "5000",
         }
-        connection.request(method, path, body=body, headers=headers)
-        answer = connection.getresponse()
-        content = answer.read()
-        connection.close()
-        return answer, content
+        try:
+            connection.request(method, path, body=body, headers=headers)
+            answer = connection.getresponse()
+            return answer, answer.read()
+        finally:
+            connection.close()
 
     def read_page(self, port, path):
         connection = http.client.HTTPConnection(
-            "127.0.0.1", port, timeout=AMPLE_S
+            LOOPBACK, port, timeout=AMPLE_S
         )
         try:
             connection.request("GET", path)
@@ -348,3 +303,79 @@
 
     def is_ready(self):
         return self.read_page(self.ports[1], "/-/ready")[0] == 200
+
+
+class PlatformWorld:
+    """A store, replicas, and the programs that are tried."""
+
+    def __init__(self, *, programs=1, shards=4, postings=2):
+        self.folder = tempfile.TemporaryDirectory()
+        self.store = StoreStandIn()
+        self.shards = [
+            ReplicaStandIn(f"shard-{number}", f"shard-{number}")
+            for number in range(shards)
+        ]
+        self.posting = [
+            ReplicaStandIn(f"posting-{number}", "posting")
+            for number in range(postings)
+        ]
+        self.programs = [
+            Program(
+                name=f"node-{number}",
+                folder=self.folder.name,
+                store_port=self.store.server.port,
+            )
+            for number in range(programs)
+        ]
+        self.program = self.programs[0]
+        for replica in (*self.shards, *self.posting):
+            self.store.put(f"servers/{replica.replica_id}", replica.describe())
+        self.configure(7, "/post/", self.shards)
+
+    def configure(self, version, prefix, shards):
+        common = {
+            "hostname": HOST,
+            "timeout-ms": 5000,
+            "target-latency-ms": 2000,
+            "max-attempts": 2,
+        }
+        services = [replica.service for replica in shards]
+        query = {
+            **common,
+            "name": "query",
+            "prefix": "/query/",
+            "type": "safe",
+            "fanout-services": services,
+            "top-k": 5,
+            "min-shard-ratio": 0.75,
+        }
+        post = {
+            **common,
+            "name": "post",
+            "prefix": prefix,
+            "type": "unsafe",
+            "service": "posting",
+        }
+        value = {
+            "version": version,
+            "routes": [query, post],
+            "services": [
+                {"name": name, "max-connections": 26}
+                for name in (*services, "posting")
+            ],
+            "limits": {
+                "max-header-bytes": 16384,
+                "max-body-bytes": 262144,
+                "header-timeout-ms": 3000,
+                "idle-timeout-ms": 15000,
+            },
+        }
+        self.store.put("op/config", value)
+
+    def stop(self):
+        for program in self.programs:
+            program.kill()
+        for replica in (*self.shards, *self.posting):
+            replica.server.stop()
+        self.store.server.stop()
+        self.folder.cleanup()
--- /dev/null
+++ b/features/steps/soak.py
@@ -0,0 +1,241 @@
+"""A randomized run of the real programs under faults from outside.
+
+By hand: ``python features/steps/soak.py --seeds 50 --first 1``.
+"""
+
+import argparse
+import contextlib
+import http.client
+import random
+import signal
+import sys
+import threading
+import time
+
+from platform_world import PlatformWorld
+from platform_world import wait_for
+
+CALLERS = 4
+NOT_RUN = (408, 421, 429, 503)
+SERVED_AGAIN_S = 20.0
+FAULT_GAP_S = (0.1, 0.7)
+
+
+class Soak:
+    """One run: faults at random, callers that write down what they got."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.world = PlatformWorld(programs=3, shards=9, postings=3)
+        # Two cuts of the index; the configuration names one at a time.
+        self.cuts = (self.world.shards[:4], self.world.shards[4:])
+        self.version = 7
+        self.sequence = 1
+        self.over = threading.Event()
+        self.postings = []
+        self.queries = []
+        self.faults = []
+
+    def run(self, seconds):
+        world = self.world
+        try:
+            world.configure(8, "/post/", self.cuts[0])
+            self.version = 8
+            for program in world.programs:
+                program.start()
+            assert wait_for(lambda: all(p.is_ready() for p in world.programs))
+            callers = [
+                threading.Thread(target=self._call, args=(number,))
+                for number in range(CALLERS)
+            ]
+            for caller in callers:
+                caller.start()
+            until = time.monotonic() + seconds
+            while time.monotonic() < until:
+                self._fail()
+                time.sleep(self.rng.uniform(*FAULT_GAP_S))
+            self._heal()
+            self.over.set()
+            for caller in callers:
+                caller.join()
+            self._check()
+            self._check_served_again()
+            self._check_end()
+        finally:
+            self.over.set()
+            world.stop()
+        return f"{len(self.postings)} postings, {len(self.queries)} queries"
+
+    def _fail(self):
+        fault = self.rng.choice(
+            (
+                self._kill,
+                self._restart,
+                self._freeze,
+                self._lose_store,
+                self._change_server,
+                self._change_server,
+                self._drain,
+                self._reshard,
+            )
+        )
+        self.faults.append(fault.__name__)
+        fault()
+
+    def _kill(self):
+        program = self.rng.choice(self.world.programs)
+        program.kill()
+        program.start()
+
+    def _restart(self):
+        program = self.rng.choice(self.world.programs)
+        program.process.send_signal(signal.SIGTERM)
+        assert program.process.wait(30) == 0, program.log.read_text()[-3000:]
+        program.start()
+
+    def _freeze(self):
+        process = self.rng.choice(self.world.programs).process
+        process.send_signal(signal.SIGSTOP)
+        time.sleep(self.rng.uniform(0.1, 1.5))
+        process.send_signal(signal.SIGCONT)
+
+    def _lose_store(self):
+        self.world.store.away = True
+        time.sleep(self.rng.uniform(0.1, 2.0))
+        self.world.store.away = False
+
+    def _change_server(self):
+        server = self.rng.choice((*self.world.shards, *self.world.posting))
+        server.mode = self.rng.choice(("serve", "break", "refuse"))
+        server.delay_s = self.rng.choice((0.0, 0.0, 0.2, 1.0))
+
+    def _drain(self):
+        self._write(self.rng.choice(self.world.posting), draining=True)
+
+    def _write(self, server, *, draining):
+        self.sequence += 1
+        state = "draining" if draining else "ready"
+        self.world.store.put(
+            f"servers/{server.replica_id}",
+            server.describe(state=state, sequence=self.sequence),
+        )
+
+    def _reshard(self):
+        self.version += self.rng.randrange(1, 4)
+        self.world.configure(
+            self.version, "/post/", self.rng.choice(self.cuts)
+        )
+
+    def _heal(self):
+        self.world.store.away = False
+        for server in (*self.world.shards, *self.world.posting):
+            server.mode = "serve"
+            server.delay_s = 0.0
+        for server in self.world.posting:
+            self._write(server, draining=False)
+
+    def _call(self, caller):
+        rng = random.Random(caller)
+        number = 0
+        while not self.over.is_set():
+            number += 1
+            name = f"{caller}-{number}"
+            program = rng.choice(self.world.programs)
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                if rng.random() < 0.5:
+                    self._post(program, name, number)
+                else:
+                    answer, body = program.call(f"/query/{name}", number=name)
+                    self.queries.append((answer.status, answer.headers, body))
+            time.sleep(0.005)
+
+    def _post(self, program, name, number):
+        path = f"/post/{name}"
+        body = f"{name} " * (number % 50)
+        status, echo = 0, b""
+        try:
+            answer, echo = program.call(
+                path, method="POST", body=body.encode(), number=name
+            )
+            status = answer.status
+        finally:
+            self.postings.append((path, body.encode(), status, echo))
+
+    def _check(self):
+        runs = {}
+        for server in self.world.posting:
+            for _, path, body in server.ran:
+                runs.setdefault(path, []).append(body)
+        for path, body, status, echo in self.postings:
+            ran = runs.get(path, [])
+            assert len(ran) <= 1, f"{path} ran {len(ran)} times"
+            assert ran in ([], [body]), f"{path} ran with another body"
+            assert not (ran and status in NOT_RUN), f"{path} {status} but ran"
+            if status == 200 and body:
+                assert echo == body, f"{path} got another answer"
+        for status, headers, body in self.queries:
+            if status == 200:
+                self._check_answer(headers, body)
+
+    def _check_answer(self, headers, body):
+        digests = headers["Bluebellbay-Shard-Signatures"].split(", ")
+        missing = int(headers["Bluebellbay-Missing-Shards"])
+        assert len(set(digests)) == len(digests), digests
+        by_digest = {
+            f"digest-{shard.replica_id}": shard for shard in self.world.shards
+        }
+        shards = [by_digest[digest] for digest in digests]
+        (cut,) = [cut for cut in self.cuts if shards[0] in cut]
+        assert all(shard in cut for shard in shards), digests
+        assert len(shards) + missing == len(cut), (digests, missing)
+        records = sorted(
+            (
+                shard.records[at : at + 16]
+                for shard in shards
+                for at in range(0, len(shard.records), 16)
+            ),
+            reverse=True,
+        )
+        assert body == b"".join(records[:5])
+
+    def _check_served_again(self):
+        for program in self.world.programs:
+            for path in ("/query/end", "/post/end"):
+                assert wait_for(
+                    lambda p=program, path=path: self._is_served(p, path),
+                    SERVED_AGAIN_S,
+                ), f"{program.name} does not serve {path}"
+
+    def _is_served(self, program, path):
+        method = "POST" if path.startswith("/post") else "GET"
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            return program.call(path, method=method)[0].status == 200
+        return False
+
+    def _check_end(self):
+        for program in self.world.programs:
+            program.process.send_signal(signal.SIGTERM)
+        for program in self.world.programs:
+            assert program.process.wait(30) == 0
+            assert "Traceback" not in program.log.read_text()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=10.0)
+    options = parser.parse_args()
+    failed = 0
+    for seed in range(options.first, options.first + options.seeds):
+        soak = Soak(seed)
+        try:
+            print(f"seed {seed}: ok, {soak.run(options.seconds)}", flush=True)
+        except AssertionError as error:
+            failed += 1
+            print(f"seed {seed}: FAILED {error} after {soak.faults}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
