Don't take dead peers for being cut off

Now connections to three far replicas are tried along with the peers, and one each half second while cut off; one that is accepted ends it. Ruled out: waiting longer for replies, as a cut-off node sends none. Test: "Peers that are all down are no proof of being cut off", red before (the node was not ready), green after.

--- a/features/replicas.feature
+++ b/features/replicas.feature
@@ -119,6 +119,7 @@
     And a peer in "zone-b"
     And the node is ready
     When the peer can't be reached by a probe
+    And no replica there can be reached
     Then the node is not ready and closes its connections
     When a request arrives
     Then it is answered "no replica" as not run
@@ -126,11 +127,25 @@
     When the peer answers a probe
     Then the node is ready
 
+  Scenario: Peers that are all down are no proof of being cut off
+    Given a query route over 6 shards, 4 only in "zone-b"
+    And a peer in "zone-b"
+    And the node is ready
+    When the peer can't be reached by a probe
+    But a replica there accepts a connection
+    Then the node is ready
+    When the peer can't be reached by a probe
+    And no replica there can be reached
+    Then the node is not ready and closes its connections
+    When a replica there accepts a connection
+    Then the node is ready
+
   Scenario: A node that holds enough shards serves on alone
     Given a query route over 6 shards, 1 only in "zone-b"
     And a peer in "zone-b"
     And the node is ready
     When the peer can't be reached by a probe
+    And no replica there can be reached
     And a request arrives
     And each shard replies with records of its own
     Then it lists 5 digests and misses 1 shards
@@ -142,6 +157,7 @@
     And the node is ready
     When a request arrives
     And the peer can't be reached by a probe
+    And no replica there can be reached
     Then the node is not ready and closes its connections
     When a replica in "zone-b" answers
     And 0.6 s pass
--- a/features/steps/platform_world.py
+++ b/features/steps/platform_world.py
@@ -301,6 +301,9 @@
         finally:
             connection.close()
 
+    def is_listening(self):
+        return self.read_page(self.ports[1], "/-/ready")[0] != 0
+
     def is_ready(self):
         return self.read_page(self.ports[1], "/-/ready")[0] == 200
 
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -27,6 +27,7 @@
 from bluebellbay.protocol.exchange import NodeUnlisted
 from bluebellbay.protocol.exchange import PeerProbed
 from bluebellbay.protocol.exchange import RefusalKind
+from bluebellbay.protocol.exchange import ReplicaProbed
 from bluebellbay.protocol.exchange import ReplicaUnlisted
 from bluebellbay.protocol.exchange import SetConnectionLimit
 from bluebellbay.protocol.exchange import SetKeepAlive
@@ -613,9 +614,21 @@
 
 @behave.when("the peer can't be reached by a probe")
 def step_probe_fails(context):
+    context.world.now += 0.001
     context.world.feed(PeerProbed(name="peer", answered=False))
 
 
+@behave.when("no replica there can be reached")
+def step_replica_probe_fails(context):
+    context.world.feed(ReplicaProbed(answered=False))
+
+
+@behave.when("a replica there accepts a connection")
+def step_replica_probe_answers(context):
+    context.world.now += 0.001
+    context.world.feed(ReplicaProbed(answered=True))
+
+
 @behave.when("the peer answers a probe")
 def step_probe_answers(context):
     context.world.feed(PeerProbed(name="peer", answered=True))
--- a/packages/bluebellbay/bluebellbay/coordination/routing/isolation.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/isolation.py
@@ -7,18 +7,23 @@
 from bluebellbay.protocol.event import TimePassed
 from bluebellbay.protocol.exchange import PeerProbed
 from bluebellbay.protocol.exchange import ProbePeer
+from bluebellbay.protocol.exchange import ProbeReplica
+from bluebellbay.protocol.exchange import ReplicaProbed
 from bluebellbay.state.peer import PeerRecord
 
 PROBE_TIMEOUT_S = 0.3
 PROBE_GAP_S = 0.5
+# Replicas that are probed along with the peers at a doubt.
+FIRST_REPLICAS = 3
 
 
 class IsolationPart(RoutingPart):
     """Probes peers in other domains once there is a doubt about them.
 
-    The node is cut off if no peer in another domain answers and no replica
-    there does. It then refuses at once what it can't serve alone, and the
-    balancer sends callers to nodes that can.
+    The node is cut off if no peer in another domain can be reached, and no
+    replica there: peers alone may all be down while replicas serve. It then
+    refuses at once what it can't serve alone, and the balancer sends callers
+    to nodes that can.
 
     :param context: What the requests of this node share.
     :param rules: What the node must keep to.
@@ -28,10 +33,15 @@
         super().__init__(context=context, rules=rules)
         self._probing: set[str] = set()
         self._next_at: float | None = None
+        self._replica_failed_at = 0.0
 
     def list_actions(self) -> Actions:
         """List what is done for each kind of event."""
-        return {PeerProbed: self._take_probe, TimePassed: self._look}
+        return {
+            PeerProbed: self._take_probe,
+            ReplicaProbed: self._take_replica_probe,
+            TimePassed: self._look,
+        }
 
     def next_wake(self) -> float | None:
         """Name the time at which ``TimePassed`` is due."""
@@ -42,8 +52,11 @@
         if self.context.doubt:
             self.context.doubt = False
             self._probe(self._list_far(), now)
+            self._probe_replicas(FIRST_REPLICAS)
         elif self._next_at is not None and now >= self._next_at:
             self._probe(self._list_avoided(), now)
+            if self.state.isolated:
+                self._probe_replicas(1)
         self._judge(now)
 
     def _take_probe(self, event: PeerProbed, now: float) -> None:
@@ -66,6 +79,24 @@
             self.context.log("Lost a peer.", peer=event.name)
         self.context.delegations.give_up_peer(event.name, now)
 
+    def _take_replica_probe(self, event: ReplicaProbed, now: float) -> None:
+        if event.answered:
+            self.state.far_heard_at = now
+        else:
+            self._replica_failed_at = now
+        self._look(event, now)
+
+    def _probe_replicas(self, count: int) -> None:
+        far = [
+            record
+            for record in self.state.replicas
+            if self.state.is_far(record) and record.unlisted_at is None
+        ]
+        for record in self.state.rng.sample(far, min(count, len(far))):
+            self.context.emit(
+                ProbeReplica(replica=record.entry, timeout_s=PROBE_TIMEOUT_S)
+            )
+
     def _probe(self, peers: list[PeerRecord], now: float) -> None:
         for peer in peers:
             if peer.entry.name in self._probing:
@@ -92,10 +123,15 @@
 
     def _judge(self, now: float) -> None:
         peers = self._list_far()
-        isolated = bool(peers) and all(
-            peer.avoided_since is not None
-            and peer.failed_at > self.state.far_heard_at
-            for peer in peers
+        failed = self._replica_failed_at > self.state.far_heard_at
+        isolated = (
+            failed
+            and bool(peers)
+            and all(
+                peer.avoided_since is not None
+                and peer.failed_at > self.state.far_heard_at
+                for peer in peers
+            )
         )
         if isolated == self.state.isolated:
             return
--- a/packages/bluebellbay/bluebellbay/coordination/routing/lifecycle.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/lifecycle.py
@@ -12,6 +12,7 @@
 from bluebellbay.protocol.event import TimePassed
 from bluebellbay.protocol.exchange import ConfigurationFound
 from bluebellbay.protocol.exchange import PeerProbed
+from bluebellbay.protocol.exchange import ReplicaProbed
 from bluebellbay.protocol.exchange import ReplicaSeen
 from bluebellbay.protocol.exchange import ReplicasListed
 from bluebellbay.protocol.exchange import ReplicaUnlisted
@@ -53,6 +54,7 @@
             ReplicaSeen: self._look,
             ReplicaUnlisted: self._look,
             PeerProbed: self._look,
+            ReplicaProbed: self._look,
             ShutdownRequested: self._take_request,
             TimePassed: self._look,
         }
--- a/packages/bluebellbay/bluebellbay/protocol/exchange.py
+++ b/packages/bluebellbay/bluebellbay/protocol/exchange.py
@@ -231,6 +231,16 @@
     answered: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ReplicaProbed:
+    """A connection to a replica was tried.
+
+    :param answered: Whether it was accepted in time.
+    """
+
+    answered: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class NodesListed:
     """The nodes that hold a lease in the store were read.
@@ -325,6 +335,18 @@
     attempt: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ProbeReplica:
+    """Try a connection to a replica and close it; one event tells.
+
+    :param replica: The replica.
+    :param timeout_s: Seconds after which it can't be reached.
+    """
+
+    replica: ReplicaEntry
+    timeout_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ForwardAnswer:
     """Answer a caller with a replica's reply, unchanged.
@@ -449,6 +471,7 @@
     | StoreRegained
     | DelegationAnswered
     | PeerProbed
+    | ReplicaProbed
     | NodesListed
     | NodeSeen
     | NodeUnlisted
@@ -468,4 +491,5 @@
     | SetCallerLimits
     | SetKeepAlive
     | ProbePeer
+    | ProbeReplica
 )
--- a/packages/bluebellbay/bluebellbay/transport/replica.py
+++ b/packages/bluebellbay/bluebellbay/transport/replica.py
@@ -5,16 +5,21 @@
 
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import gatherResults
+from twisted.internet.protocol import Factory
+from twisted.internet.protocol import Protocol
 
 from bluebellbay.protocol.exchange import AttemptFailed
 from bluebellbay.protocol.exchange import AttemptRefused
 from bluebellbay.protocol.exchange import AttemptReplied
 from bluebellbay.protocol.exchange import CancelAttempt
 from bluebellbay.protocol.exchange import ForgetReplica
+from bluebellbay.protocol.exchange import ProbeReplica
 from bluebellbay.protocol.exchange import RefusalKind
+from bluebellbay.protocol.exchange import ReplicaProbed
 from bluebellbay.protocol.exchange import SendAttempt
 from bluebellbay.protocol.exchange import SetConnectionLimit
 from bluebellbay.protocol.replica import ReplicaEntry
+from bluebellbay.transport._address import build_endpoint
 from bluebellbay.transport.connection import AnswerForm
 from bluebellbay.transport.connection import CallAnswered
 from bluebellbay.transport.connection import CallEnd
@@ -92,6 +97,28 @@
         if flight is not None:
             flight.pool.abort(flight.call)
 
+    def probe(self, command: ProbeReplica) -> None:
+        """Try a connection to a replica and close it.
+
+        :param command: The replica.
+        """
+        endpoint = build_endpoint(
+            self._reactor,
+            address=command.replica.address,
+            timeout_s=command.timeout_s,
+        )
+        endpoint.connect(Factory.forProtocol(Protocol)).addCallbacks(
+            self._report_reached, self._report_unreached
+        )
+
+    def _report_reached(self, protocol: Any) -> None:
+        protocol.transport.loseConnection()
+        self._report(ReplicaProbed(answered=True))
+
+    def _report_unreached(self, failure: Any) -> None:
+        del failure
+        self._report(ReplicaProbed(answered=False))
+
     def set_limit(self, command: SetConnectionLimit) -> None:
         """Bound the connections to a replica.
 
--- a/packages/bluebellbayd/bluebellbayd/router.py
+++ b/packages/bluebellbayd/bluebellbayd/router.py
@@ -30,6 +30,7 @@
 from bluebellbay.protocol.exchange import ForwardAnswer
 from bluebellbay.protocol.exchange import MergedAnswer
 from bluebellbay.protocol.exchange import ProbePeer
+from bluebellbay.protocol.exchange import ProbeReplica
 from bluebellbay.protocol.exchange import SendAttempt
 from bluebellbay.protocol.exchange import SetCallerLimits
 from bluebellbay.protocol.exchange import SetConnectionLimit
@@ -217,6 +218,7 @@
             SetCallerLimits: self._set_limits,
             SetKeepAlive: self._set_keep_alive,
             ProbePeer: self._peers.probe,
+            ProbeReplica: self._replicas.probe,
             DelegateQuery: self._peers.send,
             WithdrawDelegation: self._peers.withdraw,
             CancelDelegation: self._peers.cancel,
