Give a run one description of its beginning; close pools of dropped replicas

The plain and the scatter run repeated the same five parameters. A replica dropped after a 421 kept its connections; it is forgotten like others now.

--- a/packages/bluebellbay/bluebellbay/coordination/routing/exchange.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/exchange.py
@@ -7,6 +7,7 @@
 from bluebellbay.coordination.routing.part import RoutingPart
 from bluebellbay.coordination.routing.plain import PlainRun
 from bluebellbay.coordination.routing.rules import RouterRules
+from bluebellbay.coordination.routing.run import Arrival
 from bluebellbay.coordination.routing.run import RETRY_AFTER_S
 from bluebellbay.coordination.routing.run import Run
 from bluebellbay.coordination.routing.scatter import ScatterRun
@@ -21,6 +22,7 @@
 from bluebellbay.protocol.exchange import ErrorAnswer
 from bluebellbay.protocol.exchange import ExchangeAbandoned
 from bluebellbay.protocol.exchange import ExchangeOpened
+from bluebellbay.protocol.exchange import ForgetReplica
 from bluebellbay.protocol.exchange import RefusalKind
 from bluebellbay.protocol.route import Route
 
@@ -72,7 +74,15 @@
         if route is None:
             self._refuse(event, AnswerKind.NO_ROUTE)
             return
-        run = self._build_run(event, route, configuration.version, now)
+        run = self._build_run(
+            Arrival(
+                context=self.context,
+                opened=event,
+                route=route,
+                version=configuration.version,
+                now=now,
+            )
+        )
         self._runs[event.exchange] = run
         run.start(now)
         if run.finished:
@@ -91,32 +101,17 @@
             and not self.state.draining
         )
 
-    def _build_run(
-        self, event: ExchangeOpened, route: Route, version: int, now: float
-    ) -> Run:
+    def _build_run(self, arrival: Arrival) -> Run:
+        route = arrival.route
         rule = route.scatter
-        if rule is not None:
-            terms = event.request.delegation
-            if terms is not None:
-                rule = dataclasses.replace(
-                    rule, shards=terms.shards, least_coverage=0.0
-                )
-            return ScatterRun(
-                context=self.context,
-                opened=event,
-                route=route,
-                rule=rule,
-                version=version,
-                now=now,
+        if rule is None:
+            return PlainRun(arrival=arrival, service=self._drawer.draw(route))
+        terms = arrival.opened.request.delegation
+        if terms is not None:
+            rule = dataclasses.replace(
+                rule, shards=terms.shards, least_coverage=0.0
             )
-        return PlainRun(
-            context=self.context,
-            opened=event,
-            route=route,
-            version=version,
-            service=self._drawer.draw(route),
-            now=now,
-        )
+        return ScatterRun(arrival=arrival, rule=rule)
 
     def _refuse(self, event: ExchangeOpened, kind: AnswerKind) -> None:
         self.context.emit(
@@ -185,6 +180,7 @@
         if record is None or record.incarnation != incarnation:
             return
         self.state.replicas.remove(incarnation[0])
+        self.context.emit(ForgetReplica(replica=record.entry))
         self.context.log(
             "Dropped a replica whose address another one has.",
             replica=incarnation[0],
--- a/packages/bluebellbay/bluebellbay/coordination/routing/plain.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/plain.py
@@ -1,14 +1,12 @@
 """A request that goes to one service."""
 
-from bluebellbay.coordination.routing.context import RoutingContext
 from bluebellbay.coordination.routing.leg import Leg
 from bluebellbay.coordination.routing.leg import LossReason
+from bluebellbay.coordination.routing.run import Arrival
 from bluebellbay.coordination.routing.run import Run
 from bluebellbay.protocol.exchange import AnswerKind
-from bluebellbay.protocol.exchange import ExchangeOpened
 from bluebellbay.protocol.exchange import ForwardAnswer
 from bluebellbay.protocol.exchange import ReplicaReply
-from bluebellbay.protocol.route import Route
 
 _KINDS = {
     LossReason.NO_REPLICA: AnswerKind.NO_REPLICA,
@@ -20,32 +18,13 @@
 class PlainRun(Run):
     """Forwards a replica's reply unchanged.
 
-    :param context: What the requests of this node share.
-    :param opened: How it arrived.
-    :param route: Its route.
-    :param version: Version of the configuration.
+    :param arrival: The request as it begins.
     :param service: The service that was drawn for it.
-    :param now: Present time in seconds.
     """
 
-    def __init__(
-        self,
-        *,
-        context: RoutingContext,
-        opened: ExchangeOpened,
-        route: Route,
-        version: int,
-        service: str,
-        now: float,
-    ) -> None:
-        super().__init__(
-            context=context,
-            opened=opened,
-            route=route,
-            version=version,
-            now=now,
-        )
-        self._leg = Leg(context=context, run=self, service=service)
+    def __init__(self, *, arrival: Arrival, service: str) -> None:
+        super().__init__(arrival=arrival)
+        self._leg = Leg(context=self.context, run=self, service=service)
 
     def list_legs(self) -> tuple[Leg, ...]:
         """List the only leg."""
--- a/packages/bluebellbay/bluebellbay/coordination/routing/run.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/run.py
@@ -1,6 +1,7 @@
 """One routed request, from its arrival to its answer."""
 
 import abc
+import dataclasses
 
 from bluebellbay.coordination.routing.context import RoutingContext
 from bluebellbay.coordination.routing.leg import Leg
@@ -20,8 +21,9 @@
 RETRY_ELSEWHERE_S = 0.01
 
 
-class Run(Timed, abc.ABC):
-    """A request under way.
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Arrival:
+    """A request as it begins.
 
     :param context: What the requests of this node share.
     :param opened: How it arrived.
@@ -30,24 +32,31 @@
     :param now: Present time in seconds.
     """
 
-    def __init__(
-        self,
-        *,
-        context: RoutingContext,
-        opened: ExchangeOpened,
-        route: Route,
-        version: int,
-        now: float,
-    ) -> None:
-        self.context = context
+    context: RoutingContext
+    opened: ExchangeOpened
+    route: Route
+    version: int
+    now: float
+
+
+class Run(Timed, abc.ABC):
+    """A request under way.
+
+    :param arrival: The request as it begins.
+    """
+
+    def __init__(self, *, arrival: Arrival) -> None:
+        opened = arrival.opened
+        route = arrival.route
+        self.context = arrival.context
         self.exchange = opened.exchange
         self.request = opened.request
         self.route = route
         self.repeats = 0
         self.finished = False
-        self._version = version
-        self._arrived_at = now
-        sent_at = now - opened.age_s
+        self._version = arrival.version
+        self._arrived_at = arrival.now
+        sent_at = arrival.now - opened.age_s
         patience_s = opened.request.patience_s
         wait_s = route.timeout_s
         if patience_s is not None:
--- a/packages/bluebellbay/bluebellbay/coordination/routing/scatter.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/scatter.py
@@ -1,7 +1,6 @@
 """A query over shards: one leg a shard, one merged answer."""
 
 from bluebellbay.coordination.routing.admission import AdmissionLimit
-from bluebellbay.coordination.routing.context import RoutingContext
 from bluebellbay.coordination.routing.delegation import Assignment
 from bluebellbay.coordination.routing.delegation import Delegation
 from bluebellbay.coordination.routing.leg import Leg
@@ -9,45 +8,25 @@
 from bluebellbay.coordination.routing.objective import count_least
 from bluebellbay.coordination.routing.objective import judge
 from bluebellbay.coordination.routing.objective import Verdict
+from bluebellbay.coordination.routing.run import Arrival
 from bluebellbay.coordination.routing.run import Run
 from bluebellbay.coordination.routing.top_records import merge_records
 from bluebellbay.protocol.exchange import AnswerKind
 from bluebellbay.protocol.exchange import ErrorAnswer
-from bluebellbay.protocol.exchange import ExchangeOpened
 from bluebellbay.protocol.exchange import MergedAnswer
 from bluebellbay.protocol.exchange import ReplicaReply
-from bluebellbay.protocol.route import Route
 from bluebellbay.protocol.route import ScatterRule
 
 
 class ScatterRun(Run):
     """Merges the greatest records of the shards of one configuration.
 
-    :param context: What the requests of this node share.
-    :param opened: How it arrived.
-    :param route: Its route.
+    :param arrival: The request as it begins.
     :param rule: How it is answered.
-    :param version: Version of the configuration.
-    :param now: Present time in seconds.
     """
 
-    def __init__(
-        self,
-        *,
-        context: RoutingContext,
-        opened: ExchangeOpened,
-        route: Route,
-        rule: ScatterRule,
-        version: int,
-        now: float,
-    ) -> None:
-        super().__init__(
-            context=context,
-            opened=opened,
-            route=route,
-            version=version,
-            now=now,
-        )
+    def __init__(self, *, arrival: Arrival, rule: ScatterRule) -> None:
+        super().__init__(arrival=arrival)
         self._rule = rule
         self._least = count_least(len(rule.shards), rule.least_coverage)
         self._legs: list[Leg] = []
@@ -59,10 +38,10 @@
         self._lost_by_peers = 0
         self._ran_elsewhere = False
         self._limit: AdmissionLimit | None = None
-        terms = opened.request.delegation
+        terms = self.request.delegation
         self._terms = terms
         if terms is not None:
-            self.objective_at = now + terms.objective_s
+            self.objective_at = arrival.now + terms.objective_s
 
     def list_legs(self) -> tuple[Leg, ...]:
         """List the legs that are sent from here."""
