Bound the rounds of probes to one each half second

Cause: found by reading; each doubt tried three connections, and under overload each query that was late at a peer is a doubt. After: at most 9.

--- a/features/replicas.feature
+++ b/features/replicas.feature
@@ -140,6 +140,13 @@
     When a replica there accepts a connection
     Then the node is ready
 
+  Scenario: Doubts in quick succession cost one round of probes
+    Given a query route over 6 shards, 4 only in "zone-b"
+    And a peer in "zone-b"
+    When 40 requests arrive in 0.4 s and stay without an answer
+    And 1 s pass
+    Then at most 9 probes of replicas were sent
+
   Scenario: A node that holds enough shards serves on alone
     Given a query route over 6 shards, 1 only in "zone-b"
     And a peer in "zone-b"
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -26,6 +26,7 @@
 from bluebellbay.protocol.exchange import NodesListed
 from bluebellbay.protocol.exchange import NodeUnlisted
 from bluebellbay.protocol.exchange import PeerProbed
+from bluebellbay.protocol.exchange import ProbeReplica
 from bluebellbay.protocol.exchange import RefusalKind
 from bluebellbay.protocol.exchange import ReplicaProbed
 from bluebellbay.protocol.exchange import ReplicaUnlisted
@@ -629,6 +630,23 @@
     context.world.feed(ReplicaProbed(answered=True))
 
 
+@behave.when("40 requests arrive in 0.4 s and stay without an answer")
+def step_silent_peer(context):
+    for _ in range(40):
+        arrive(context)
+        context.world.advance(0.01)
+
+
+@behave.then("at most {count:d} probes of replicas were sent")
+def step_probes(context, count):
+    probes = [
+        command
+        for command in context.world.commands
+        if isinstance(command, ProbeReplica)
+    ]
+    assert 0 < len(probes) <= count, len(probes)
+
+
 @behave.when("the peer answers a probe")
 def step_probe_answers(context):
     context.world.feed(PeerProbed(name="peer", answered=True))
--- a/packages/bluebellbay/bluebellbay/coordination/routing/context.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/context.py
@@ -1,7 +1,6 @@
 """What all routed requests of one node share."""
 
 from collections.abc import Iterable
-from typing import TYPE_CHECKING
 
 from bluebellbay.coordination.base_part import Step
 from bluebellbay.coordination.routing.admission import AdmissionTable
@@ -23,9 +22,6 @@
 from bluebellbay.state.replica import ReplicaRecord
 from bluebellbay.state.router import RouterState
 
-if TYPE_CHECKING:
-    pass
-
 PART = "router"
 EJECTION_FAILURES = 3
 FIRST_EJECTION_S = 1.0
--- a/packages/bluebellbay/bluebellbay/coordination/routing/isolation.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/isolation.py
@@ -33,6 +33,7 @@
         super().__init__(context=context, rules=rules)
         self._probing: set[str] = set()
         self._next_at: float | None = None
+        self._next_round_at = 0.0
         self._replica_failed_at = 0.0
 
     def list_actions(self) -> Actions:
@@ -45,12 +46,17 @@
 
     def next_wake(self) -> float | None:
         """Name the time at which ``TimePassed`` is due."""
-        return self._next_at
+        if not self.context.doubt:
+            return self._next_at
+        if self._next_at is None:
+            return self._next_round_at
+        return min(self._next_at, self._next_round_at)
 
     def _look(self, event: object, now: float) -> None:
         del event
-        if self.context.doubt:
+        if self.context.doubt and now >= self._next_round_at:
             self.context.doubt = False
+            self._next_round_at = now + PROBE_GAP_S
             self._probe(self._list_far(), now)
             self._probe_replicas(FIRST_REPLICAS)
         elif self._next_at is not None and now >= self._next_at:
