--- a/features/routing.feature
+++ b/features/routing.feature
@@ -115,3 +115,10 @@
     When an older configuration without the route is read
     And a request arrives
     Then it was sent once
+
+  Scenario: The objective leaves time for both ways to the caller
+    Given a query route over 4 shards
+    When a request arrives
+    And 3 shards reply
+    And 0.092 s pass
+    Then it lists 3 digests and misses 1 shards
--- /dev/null
+++ b/features/steps/follower_steps.py
@@ -0,0 +1,188 @@
+"""Steps about following the store."""
+
+import random
+
+import behave
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from bluebellbay.protocol.exchange import NodeUnlisted
+from bluebellbay.protocol.exchange import StoreLost
+from bluebellbay.protocol.exchange import StoreRegained
+from bluebellbay.protocol.node import NodeEntry
+from bluebellbay.transport.follower import StoreFollower
+from bluebellbay.transport.store import HistoryGone
+from bluebellbay.transport.store import LeaseGone
+from bluebellbay.transport.store import StoreClient
+from bluebellbay.transport.store import StoreItem
+from bluebellbay.transport.store import StoreItems
+from bluebellbay.transport.store import StoreSchema
+from bluebellbay.transport.store import StoreUnavailable
+
+AMPLE_S = 60.0
+
+
+class FakeStore(StoreClient):
+    def __init__(self, revision):
+        self.revision = revision
+        self.lists = []
+        self.watched = []
+        self.waiting = None
+        self.puts = []
+        self.lease = 0
+        self.lease_gone = False
+
+    async def list_items(self, prefix):
+        self.lists.append(prefix)
+        return StoreItems(items=(), revision=self.revision)
+
+    async def watch(self, after, wait_s):
+        self.watched.append(after)
+        self.waiting = Deferred()
+        return await self.waiting
+
+    async def open_lease(self, ttl_s):
+        self.lease += 1
+        return self.lease
+
+    async def renew_lease(self, lease):
+        if self.lease_gone:
+            self.lease_gone = False
+            raise LeaseGone
+
+    async def put(self, key, value, lease):
+        self.puts.append((key, lease))
+
+
+class FakeSchema(StoreSchema):
+    listed_prefixes = ("a/", "b/")
+
+    def read_list(self, prefix, items):
+        return ()
+
+    def read_change(self, item):
+        if item.value is None:
+            raise ZeroDivisionError
+        return (NodeUnlisted(name=item.key),)
+
+    def write_node(self, node):
+        return StoreItem(key=node.name, value=b"x")
+
+
+@behave.given("a follower of a store at revision {revision:d}")
+def step_follower(context, revision):
+    context.clock = Clock()
+    context.store = FakeStore(revision)
+    context.events = []
+    context.faults = []
+    context.nodes = 1
+    context.follower = StoreFollower(
+        reactor=context.clock,
+        client=context.store,
+        schema=FakeSchema(),
+        node=NodeEntry(name="n", address="", failure_domain=""),
+        report=context.events.append,
+        note_fault=context.faults.append,
+        rng=random.Random(1),
+        count_nodes=lambda: context.nodes,
+    )
+    context.follower.start()
+
+
+def pass_time(context, seconds=1.0):
+    for _ in range(round(seconds / 0.05)):
+        context.clock.advance(0.05)
+
+
+def change(context, revision, value):
+    item = StoreItem(key=f"key-{revision}", value=value)
+    waiting = context.store.waiting
+    waiting.callback(StoreItems(items=(item,), revision=revision))
+    pass_time(context)
+
+
+@behave.then("it has read all prefixes and watches after {revision:d}")
+def step_listed(context, revision):
+    pass_time(context, 2.0)
+    assert context.store.lists[-2:] == ["a/", "b/"]
+    assert context.store.watched[-1] == revision
+
+
+@behave.when("a change comes at revision {revision:d}")
+def step_change(context, revision):
+    change(context, revision, b"value")
+
+
+@behave.when("a change comes that can't be handled")
+def step_bad_change(context):
+    before = len(context.store.lists)
+    change(context, 6, None)
+    assert isinstance(context.faults[0], ZeroDivisionError)
+    pass_time(context)
+    assert len(context.store.lists) == before + 2
+
+
+@behave.then("the change is reported and it watches after {revision:d}")
+def step_changed(context, revision):
+    assert context.events[-1] == NodeUnlisted(name=f"key-{revision}")
+    assert context.store.watched[-1] == revision
+
+
+@behave.when("the history is gone and the store is at revision {revision:d}")
+def step_history(context, revision):
+    context.store.revision = revision
+    context.store.waiting.errback(HistoryGone())
+    pass_time(context)
+
+
+@behave.then("the store was not reported as lost")
+def step_not_lost(context):
+    assert not any(isinstance(item, StoreLost) for item in context.events)
+
+
+@behave.when("the watch fails {count:d} times")
+def step_fail(context, count):
+    for _ in range(count):
+        context.store.waiting.errback(StoreUnavailable("silent"))
+        pass_time(context, 2.0)
+
+
+@behave.then("the store was reported as lost")
+def step_lost(context):
+    assert any(isinstance(item, StoreLost) for item in context.events)
+
+
+@behave.then("the store is regained before the change is reported")
+def step_regained(context):
+    kinds = [type(event) for event in context.events]
+    assert kinds[-2:] == [StoreRegained, NodeUnlisted], kinds
+
+
+@behave.then("the node's key was written under a lease")
+def step_lease(context):
+    assert context.store.puts == [("n", 1)]
+
+
+@behave.when("its lease ends")
+def step_lease_ends(context):
+    context.store.lease_gone = True
+    pass_time(context, AMPLE_S)
+
+
+@behave.then("the node's key was written under another lease")
+def step_lease_again(context):
+    assert context.store.puts == [("n", 1), ("n", 2)]
+
+
+@behave.then("the pause after a change is 0.1 s with 1 node and 1 s with 36")
+def step_pauses(context):
+    for nodes, pause_s in ((1, 0.1), (36, 1.0)):
+        context.nodes = nodes
+        change(context, 98, b"value")
+        calls = len(context.store.watched)
+        item = StoreItem(key="key", value=b"value")
+        context.store.waiting.callback(StoreItems(items=(item,), revision=99))
+        context.clock.advance(pause_s - 0.01)
+        assert len(context.store.watched) == calls
+        context.clock.advance(0.02)
+        assert len(context.store.watched) == calls + 1
