Hold no query past its objective for replicas that keep failing

Cause: found by reading; with more shards dark than the floor allows, a query waited for replicas set aside until its deadline, so its caller did not ask again in time. Before: the new scenario was unanswered after the objective. After: answered at once. Hedges and late replies of sound replicas are waited for as before.

--- a/features/routing.feature
+++ b/features/routing.feature
@@ -103,6 +103,15 @@
     And the 3 other shards reply
     Then it lists 3 digests and misses 1 shards
 
+  Scenario: A query that only failing replicas could complete is not held
+    Given a query route over 4 shards
+    And the replicas of one shard were set aside
+    And the replicas of another shard were set aside
+    When a request arrives
+    And 2 shards reply
+    And 0.1 s pass
+    Then it is answered "too few shards" as maybe run
+
   Scenario: An answer never mixes the shards of two configurations
     Given a query route over 4 shards
     When a request arrives
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -207,7 +207,16 @@
 
 @behave.given("the replicas of one shard were set aside")
 def step_set_aside(context):
-    for record in context.world.core.state.replicas.list_service("shard-0"):
+    set_aside(context, "shard-0")
+
+
+@behave.given("the replicas of another shard were set aside")
+def step_set_another_aside(context):
+    set_aside(context, "shard-1")
+
+
+def set_aside(context, shard):
+    for record in context.world.core.state.replicas.list_service(shard):
         record.ejected_until = context.world.now + 5
 
 
@@ -285,7 +294,12 @@
 
 @behave.when("{count:d} shards reply")
 def step_reply_some(context, count):
-    reply_to(context, count)
+    aside = {
+        record.entry.service
+        for record in context.world.core.state.replicas
+        if record.ejected_until > context.world.now
+    }
+    reply_to(context, count, skip=aside)
 
 
 @behave.when("the 3 other shards reply")
--- a/packages/bluebellbay/bluebellbay/coordination/routing/objective.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/objective.py
@@ -32,7 +32,7 @@
     shards: int,
     replied: int,
     open_: int,
-    hopeful: bool,
+    hopeful: int,
     least: int,
     due: bool,
 ) -> Verdict:
@@ -40,12 +40,13 @@
 
     A whole answer is best before the objective; after it, an answer is
     worth little more with each shard, and less with each moment. Replicas
-    that have been failing are waited for only if the answer needs them.
+    that have been failing are waited for only if the answer needs them, and
+    not past the objective.
 
     :param shards: Shards of the query.
     :param replied: Shards that are in.
     :param open_: Shards that may still come.
-    :param hopeful: Whether one of them is asked of a sound replica.
+    :param hopeful: Those of them that are asked of sound replicas.
     :param least: Shards without which there is no answer.
     :param due: Whether the objective is reached.
     :returns: The verdict.
@@ -54,6 +55,8 @@
         return Verdict.ANSWER
     if replied + open_ < least:
         return Verdict.GIVE_UP
+    if due and replied + hopeful < least:
+        return Verdict.GIVE_UP
     if replied >= least and (due or not hopeful):
         return Verdict.ANSWER
     return Verdict.WAIT
--- a/packages/bluebellbay/bluebellbay/coordination/routing/scatter.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/scatter.py
@@ -221,13 +221,16 @@
             return
         shards = len(self._rule.shards)
         replied = self._replied
+        due = now >= self.objective_at
+        # Each reply brings a decision; most need no look at every leg.
+        decisive = due or replied >= self._least
         verdict = judge(
             shards=shards,
             replied=replied,
             open_=shards - replied - self._lost,
-            hopeful=replied < self._least or self._hopes(now),
+            hopeful=self._count_hopeful(now) if decisive else shards,
             least=self._least,
-            due=now >= self.objective_at,
+            due=due,
         )
         if verdict is Verdict.ANSWER:
             self._merge(now)
@@ -246,10 +249,11 @@
         if waiting > len(self._rule.shards) - self._least:
             self._limit.note_queues(now)
 
-    def _hopes(self, now: float) -> bool:
-        return bool(self._delegations) or any(
-            leg.is_hopeful(now) for leg in self._legs
+    def _count_hopeful(self, now: float) -> int:
+        by_peers = sum(
+            len(delegation.shards) for delegation in self._delegations.values()
         )
+        return by_peers + sum(leg.is_hopeful(now) for leg in self._legs)
 
     def _merge(self, now: float) -> None:
         bodies = [reply.body for reply in self._replies.values()]
