Remove what nothing uses

Ruled out as twins: the messages of the two facades and the two programs' heads, alike in shape only. After: linters and types clean, routing, replicas, entry, follower, path, adapter, transport, layers and histories pass; the whole suite was not run again.

--- a/packages/bluebellbay/bluebellbay/coordination/routing/exchange.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/exchange.py
@@ -156,7 +156,7 @@
             self._drop_replica(attempt.record.incarnation, now)
         self.context.note_refusal(attempt, now)
         if attempt.wanted:
-            attempt.leg.take_refusal(attempt, event.kind, now)
+            attempt.leg.take_refusal(attempt, now)
 
     def _take_failure(self, event: AttemptFailed, now: float) -> None:
         delegation = self.context.delegations.end(event.attempt)
--- a/packages/bluebellbay/bluebellbay/coordination/routing/leg.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/leg.py
@@ -5,7 +5,6 @@
 
 from bluebellbay.coordination.routing.attempt import Attempt
 from bluebellbay.coordination.timer import Timed
-from bluebellbay.protocol.exchange import RefusalKind
 from bluebellbay.protocol.exchange import ReplicaReply
 from bluebellbay.state.replica import ReplicaRecord
 
@@ -105,16 +104,12 @@
         self.failed_reply = reply
         self._go_on(LossReason.FAILED, now)
 
-    def take_refusal(
-        self, attempt: Attempt, kind: RefusalKind, now: float
-    ) -> None:
+    def take_refusal(self, attempt: Attempt, now: float) -> None:
         """Try elsewhere, as this replica did not run the request.
 
         :param attempt: The attempt.
-        :param kind: Why it was refused.
         :param now: Present time in seconds.
         """
-        del kind
         self._drop(attempt)
         self.may_have_run -= 1
         self._refused.add(attempt.record.entry.replica_id)
--- a/packages/bluebellbay/bluebellbay/protocol/exchange.py
+++ b/packages/bluebellbay/bluebellbay/protocol/exchange.py
@@ -90,7 +90,6 @@
     Each kind says whether the request may have run.
     """
 
-    MALFORMED = "malformed"
     NO_ROUTE = "no route"
     NOT_CONFIGURED = "not configured"
     NO_REPLICA = "no replica"
--- a/packages/bluebellbay/bluebellbay/transport/connection.py
+++ b/packages/bluebellbay/bluebellbay/transport/connection.py
@@ -12,8 +12,6 @@
 
 MAX_BODY_BYTES = 16_777_216
 INFORMATIONAL = 200
-NO_CONTENT = 204
-NOT_MODIFIED = 304
 KEEPALIVE_S = 1
 KEEPALIVE_PROBES = 2
 # Written bytes that are not acknowledged for so long end the connection.
--- a/packages/bluebellbay/bluebellbay/transport/replica.py
+++ b/packages/bluebellbay/bluebellbay/transport/replica.py
@@ -3,8 +3,6 @@
 import dataclasses
 from typing import Any
 
-from twisted.internet.defer import Deferred
-from twisted.internet.defer import gatherResults
 from twisted.internet.protocol import Factory
 from twisted.internet.protocol import Protocol
 
@@ -136,13 +134,6 @@
         if pool is not None:
             pool.set_limit(limit=0, warm=0)
 
-    def stop(self) -> Deferred[Any]:
-        """Close all connections.
-
-        :returns: Fires once they are closed.
-        """
-        return gatherResults([pool.stop() for pool in self._pools.values()])
-
     def _find_pool(self, replica: ReplicaEntry) -> ConnectionPool:
         key = _key(replica)
         pool = self._pools.get(key)
