Hold both operators' reads, so that their race comes about under load

Ruled out: a lost update; both revisions were made one after the other. Besides: the programs write a trace where a native library ends them, as the open finding of an end without a line could not be traced otherwise.

--- a/features/operator.feature
+++ b/features/operator.feature
@@ -56,7 +56,7 @@
 
   Scenario: Of two operators at once nobody's change is lost unseen
     Given a cluster for an operator
-    When two operators set the same profile at once over a slow store
+    When two operators who have read the same set the same profile
     Then one made it and the other was shown the change that came first
 
   Scenario: Settings with faults exit with a line for each
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -10,6 +10,7 @@
 from process_world import PROFILES
 from process_world import SEED
 from process_world import SMALL
+import yaml
 
 from bluebellbay.protocol.configuration import CONFIGURATION_KEY
 from bluebellbay_standins.client import call
@@ -23,6 +24,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 # Below the command's store timeout of 2 s, and far above what the steps take.
 SLOW_S = 1.5
+PATIENT_S = 30.0
 
 
 @behave.given("a cluster for an operator")
@@ -85,17 +87,37 @@
     context.cluster.daemons[entry].child.kill()
 
 
-@behave.when("two operators set the same profile at once over a slow store")
+@behave.when("two operators who have read the same set the same profile")
 def race(context):
-    context.cluster.control_store(delay_s=SLOW_S)
+    cluster = context.cluster
+    settings = write_patient_settings(cluster)
     with concurrent.futures.ThreadPoolExecutor(2) as pool:
+        cluster.control_store(hold_reads=CONFIGURATION_KEY)
         commands = [
-            pool.submit(run, context, "profile", "set", "batch", *fields)
+            pool.submit(
+                run_command, settings, "profile", "set", "batch", *fields
+            )
             for fields in (("--rank", "1"), ("--rank", "2"))
         ]
+        wait_until(lambda: count_held_reads(cluster) == 2, "both reads")
+        cluster.control_store(hold_reads="")
         context.results = [command.result() for command in commands]
 
 
+def write_patient_settings(cluster):
+    """Write settings of operators who wait however slow the machine is."""
+    path = cluster.daemons["entry-1"].settings_path
+    settings = yaml.safe_load(path.read_text(encoding="utf-8"))
+    settings["platform"]["store_timeout_s"] = PATIENT_S
+    patient = path.with_name("patient.yaml")
+    patient.write_text(yaml.safe_dump(settings), encoding="utf-8")
+    return patient
+
+
+def count_held_reads(cluster):
+    return call(cluster.store, "GET", "/control/counts").body["held"]
+
+
 @behave.when("an operator checks settings with two faults")
 def check_faults(context):
     text = (ROOT / "examples" / "wisla.yaml").read_text(encoding="utf-8")
--- a/packages/bluebellbayd/bluebellbayd/main.py
+++ b/packages/bluebellbayd/bluebellbayd/main.py
@@ -2,6 +2,7 @@
 
 import argparse
 from collections.abc import Sequence
+import faulthandler
 import pathlib
 import sys
 from typing import Any
@@ -47,6 +48,8 @@
 
     :param settings: The settings.
     """
+    # A fault in a native library would otherwise end without a line.
+    faulthandler.enable()
     reactor: Any = default_reactor
     configure_log(form=settings.log.form, node=settings.node.name)
     daemon = Daemon(settings=settings, reactor=reactor)
--- a/packages/standins/bluebellbay_standins/store.py
+++ b/packages/standins/bluebellbay_standins/store.py
@@ -43,6 +43,8 @@
     :param lose_answers: Next writes whose answer is lost after the effect.
     :param hold_answers: Whether writes take effect, but wait with their
         answers until this is taken back.
+    :param hold_reads: Key whose reads, but not watches, take effect and wait
+        with their answers until this is taken back; none if empty.
     :param writes_per_s: Rate of writes, leases included.
     :param reads_per_s: Rate of reads, each watch counted as one.
     """
@@ -52,6 +54,7 @@
     answer_delay_s: float = 0.0
     lose_answers: int = 0
     hold_answers: bool = False
+    hold_reads: str = ""
     writes_per_s: float = 400.0
     reads_per_s: float = 2000.0
 
@@ -68,6 +71,7 @@
     :param throttled: Calls answered 429.
     :param failed: Calls met by an outage.
     :param lost: Writes whose answer was lost.
+    :param held: Reads whose answers were held.
     """
 
     reads: int = 0
@@ -78,6 +82,7 @@
     throttled: int = 0
     failed: int = 0
     lost: int = 0
+    held: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -143,7 +148,11 @@
         if refusal is not None:
             return refusal
         if b"after" not in args:
-            return await self._answer(request, self.keys.read(key))
+            entry = self.keys.read(key)
+            if self._behaviour.hold_reads == key:
+                self.counts.held += 1
+                await self._wait_for_release()
+            return await self._answer(request, entry)
         after = int(args[b"after"][0])
         timeout_s = float(args.get(b"timeout_s", [b"30"])[0])
         if self.keys.read(key).version == after:
@@ -213,7 +222,7 @@
         self._behaviour = merged.ok
         self._reads.set_rate(self._behaviour.reads_per_s)
         self._writes.set_rate(self._behaviour.writes_per_s)
-        if not self._behaviour.hold_answers:
+        if not self._behaviour.hold_answers and not self._behaviour.hold_reads:
             self._release_answers()
         if self._behaviour.outage is not Outage.NONE:
             for key in tuple(self._watches):
