Take changed settings without a restart, by signal or silently

Cause: a changed settings file was only logged; the retry budget, the grace period and the bounds of changes held from a start on. The new scenario fails on the former program: no line but the notice.

--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -50,3 +50,14 @@
   Scenario: Settings that can't be used are a line of the log and exit code 2
     Given settings without the address of the store
     Then the program ends with exit code 2 and names the fault
+
+  Scenario: Changed settings hold without a restart, and bad ones change nothing
+    Given a store, 4 shards and 2 posting servers on the platform's wire
+    And the program runs
+    When the settings allow 7 repeats and a signal says so
+    Then the program goes on with 7 repeats
+    When the settings allow 9 repeats without a signal
+    Then the program goes on with 9 repeats
+    When the settings become unreadable
+    Then the program says that it kept the settings
+    And a query is answered from 4 shards with the greatest records
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -222,3 +222,34 @@
     log = context.platform.program.log.read_text()
     assert "address" in log
     assert "Settings can't be used" in log
+
+
+@behave.when("the settings allow {slack:d} repeats and a signal says so")
+def step_reload(context, slack):
+    program = context.platform.program
+    program.write_settings(slack=slack)
+    program.process.send_signal(signal.SIGHUP)
+
+
+@behave.when("the settings allow {slack:d} repeats without a signal")
+def step_silent_change(context, slack):
+    context.platform.program.write_settings(slack=slack)
+
+
+@behave.then("the program goes on with {slack:d} repeats")
+def step_changed_settings(context, slack):
+    program = context.platform.program
+    assert wait_for(
+        lambda: f'"retry_slack":{slack}.0' in program.log.read_text()
+    ), program.log.read_text()
+
+
+@behave.when("the settings become unreadable")
+def step_unreadable_settings(context):
+    context.platform.program.write_settings(store=False)
+
+
+@behave.then("the program says that it kept the settings")
+def step_kept_settings(context):
+    program = context.platform.program
+    assert wait_for(lambda: "Kept the settings" in program.log.read_text())
--- a/features/steps/platform_world.py
+++ b/features/steps/platform_world.py
@@ -229,7 +229,7 @@
         self._settings = pathlib.Path(folder) / f"{name}.toml"
         self._store_port = store_port
 
-    def write_settings(self, *, store=True):
+    def write_settings(self, *, store=True, slack=58):
         callers, health, peers, _ = self.ports
         text = f"""
 node-name = "{self.name}"
@@ -242,7 +242,7 @@
 readiness = "{LOOPBACK}:{health}"
 [bounds]
 grace-s = 20
-retry-budget-slack = 58
+retry-budget-slack = {slack}
 [platform]
 """
         if store:
--- a/features/steps/routing_world.py
+++ b/features/steps/routing_world.py
@@ -4,8 +4,6 @@
 import random
 
 from bluebellbay.coordination.routing.core import RoutingCore
-from bluebellbay.coordination.routing.rules import RetryRules
-from bluebellbay.coordination.routing.rules import RouterRules
 from bluebellbay.protocol.event import TimePassed
 from bluebellbay.protocol.exchange import AttemptFailed
 from bluebellbay.protocol.exchange import AttemptRefused
@@ -30,6 +28,8 @@
 from bluebellbay.protocol.route import ScatterRule
 from bluebellbay.protocol.route import ServiceLimits
 from bluebellbay.protocol.route import WeightedService
+from bluebellbay.protocol.router_rules import RetryRules
+from bluebellbay.protocol.router_rules import RouterRules
 
 HOST = "calls.example"
 DOMAIN = "zone-a"
--- a/features/steps/selection_steps.py
+++ b/features/steps/selection_steps.py
@@ -8,6 +8,7 @@
 from routing_world import DOMAIN
 
 from bluebellbay.coordination.routing.selection import ReplicaSelector
+from bluebellbay.protocol.router_rules import RouterRules
 from bluebellbay.state.replica import ReplicaRecord
 from bluebellbay.state.router import RouterState
 
@@ -21,7 +22,10 @@
     "a near and a far replica of a {kind} with an objective of 100 ms"
 )
 def step_replicas(context, kind):
-    state = RouterState(failure_domain=DOMAIN, rng=random.Random(1), nodes=1)
+    state = RouterState(
+        rules=RouterRules(node="node", failure_domain=DOMAIN),
+        rng=random.Random(1),
+    )
     context.records = {}
     for name, domain in (("near", DOMAIN), ("far", "zone-b")):
         entry = build_replica(name, SERVICE, failure_domain=domain)
--- a/packages/bluebellbay/bluebellbay/coordination/routing/context.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/context.py
@@ -12,7 +12,6 @@
 from bluebellbay.coordination.routing.ownership import ShardOwners
 from bluebellbay.coordination.routing.patience import find_wait
 from bluebellbay.coordination.routing.retry_budget import RetryBudgetTable
-from bluebellbay.coordination.routing.rules import RouterRules
 from bluebellbay.coordination.routing.selection import ReplicaSelector
 from bluebellbay.coordination.timer import Timed
 from bluebellbay.coordination.timer import TimerQueue
@@ -37,20 +36,19 @@
     """Sends attempts, keeps those under way, and learns from their ends.
 
     :param state: What the node knows.
-    :param rules: What the node must keep to.
     :ivar doubt: Whether other failure domains may be out of reach.
     :ivar suspects: Names of peers near this node that may be out of reach.
     """
 
-    def __init__(self, *, state: RouterState, rules: RouterRules) -> None:
+    def __init__(self, *, state: RouterState) -> None:
         self.state = state
         self.selector = ReplicaSelector(state=state)
-        self.budgets = RetryBudgetTable(rules=rules, state=state)
+        self.budgets = RetryBudgetTable(state=state)
         self.timers = TimerQueue()
         self.peers = PeerChooser(state=state)
         self.admission = AdmissionTable()
         self.attempts: dict[int, Attempt] = {}
-        self.owners = ShardOwners(state=state, node=rules.node)
+        self.owners = ShardOwners(state=state)
         self.doubt = False
         self.suspects: set[str] = set()
         self.delegations = DelegationTable(context=self)
--- a/packages/bluebellbay/bluebellbay/coordination/routing/core.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/core.py
@@ -10,7 +10,8 @@
 from bluebellbay.coordination.routing.lifecycle import LifecyclePart
 from bluebellbay.coordination.routing.nodes import NodePart
 from bluebellbay.coordination.routing.replicas import ReplicaPart
-from bluebellbay.coordination.routing.rules import RouterRules
+from bluebellbay.coordination.routing.rules import RulesPart
+from bluebellbay.protocol.router_rules import RouterRules
 from bluebellbay.state.router import RouterState
 
 
@@ -22,20 +23,17 @@
     """
 
     def __init__(self, *, rules: RouterRules, rng: random.Random) -> None:
-        self.state = RouterState(
-            failure_domain=rules.failure_domain, rng=rng, nodes=rules.nodes
-        )
-        self.context = RoutingContext(state=self.state, rules=rules)
-        exchanges = ExchangePart(context=self.context, rules=rules)
+        self.state = RouterState(rules=rules, rng=rng)
+        self.context = RoutingContext(state=self.state)
+        exchanges = ExchangePart(context=self.context)
         super().__init__(
             parts=(
-                ConfigurationPart(context=self.context, rules=rules),
-                ReplicaPart(context=self.context, rules=rules),
-                NodePart(context=self.context, rules=rules),
+                ConfigurationPart(context=self.context),
+                RulesPart(context=self.context),
+                ReplicaPart(context=self.context),
+                NodePart(context=self.context),
                 exchanges,
-                IsolationPart(context=self.context, rules=rules),
-                LifecyclePart(
-                    context=self.context, rules=rules, exchanges=exchanges
-                ),
+                IsolationPart(context=self.context),
+                LifecyclePart(context=self.context, exchanges=exchanges),
             )
         )
--- a/packages/bluebellbay/bluebellbay/coordination/routing/exchange.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/exchange.py
@@ -6,7 +6,6 @@
 from bluebellbay.coordination.routing.part import Actions
 from bluebellbay.coordination.routing.part import RoutingPart
 from bluebellbay.coordination.routing.plain import PlainRun
-from bluebellbay.coordination.routing.rules import RouterRules
 from bluebellbay.coordination.routing.run import Arrival
 from bluebellbay.coordination.routing.run import RETRY_AFTER_S
 from bluebellbay.coordination.routing.run import Run
@@ -31,11 +30,10 @@
     """Runs requests from their arrival to their answer.
 
     :param context: What the requests of this node share.
-    :param rules: What the node must keep to.
     """
 
-    def __init__(self, *, context: RoutingContext, rules: RouterRules) -> None:
-        super().__init__(context=context, rules=rules)
+    def __init__(self, *, context: RoutingContext) -> None:
+        super().__init__(context=context)
         self._runs: dict[int, Run] = {}
         self._drawer = ServiceDrawer()
 
--- a/packages/bluebellbay/bluebellbay/coordination/routing/isolation.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/isolation.py
@@ -3,7 +3,6 @@
 from bluebellbay.coordination.routing.context import RoutingContext
 from bluebellbay.coordination.routing.part import Actions
 from bluebellbay.coordination.routing.part import RoutingPart
-from bluebellbay.coordination.routing.rules import RouterRules
 from bluebellbay.protocol.event import TimePassed
 from bluebellbay.protocol.exchange import PeerProbed
 from bluebellbay.protocol.exchange import ProbePeer
@@ -26,11 +25,10 @@
     to nodes that can.
 
     :param context: What the requests of this node share.
-    :param rules: What the node must keep to.
     """
 
-    def __init__(self, *, context: RoutingContext, rules: RouterRules) -> None:
-        super().__init__(context=context, rules=rules)
+    def __init__(self, *, context: RoutingContext) -> None:
+        super().__init__(context=context)
         self._probing: set[str] = set()
         self._next_at: float | None = None
         self._next_round_at = 0.0
--- a/packages/bluebellbay/bluebellbay/coordination/routing/lifecycle.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/lifecycle.py
@@ -5,7 +5,6 @@
 from bluebellbay.coordination.routing.objective import count_least
 from bluebellbay.coordination.routing.part import Actions
 from bluebellbay.coordination.routing.part import RoutingPart
-from bluebellbay.coordination.routing.rules import RouterRules
 from bluebellbay.protocol.command import ReportHealth
 from bluebellbay.protocol.command import StopProcess
 from bluebellbay.protocol.event import ShutdownRequested
@@ -29,7 +28,6 @@
     """Reports readiness and ends the process.
 
     :param context: What the requests of this node share.
-    :param rules: What the node must keep to.
     :param exchanges: The part that runs requests.
     """
 
@@ -37,10 +35,9 @@
         self,
         *,
         context: RoutingContext,
-        rules: RouterRules,
         exchanges: ExchangePart,
     ) -> None:
-        super().__init__(context=context, rules=rules)
+        super().__init__(context=context)
         self._exchanges = exchanges
         self._ready = False
         self._asked_at: float | None = None
@@ -122,7 +119,7 @@
         if self._asked_at is None:
             return
         open_runs = self._exchanges.open_runs
-        latest_at = self._asked_at + self.rules.grace_s - FLUSH_S
+        latest_at = self._asked_at + self.state.rules.grace_s - FLUSH_S
         if open_runs and now < latest_at:
             self._check_at = now + CHECK_S
             return
--- a/packages/bluebellbay/bluebellbay/coordination/routing/nodes.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/nodes.py
@@ -46,7 +46,7 @@
         self._count_nodes(now)
 
     def _add_node(self, node: NodeEntry) -> None:
-        if node.name == self.rules.node:
+        if node.name == self.state.rules.node:
             return
         peer = self.state.peers.get(node.name)
         if peer is None:
--- a/packages/bluebellbay/bluebellbay/coordination/routing/ownership.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/ownership.py
@@ -31,13 +31,12 @@
     and a node that goes or comes moves only its own shards.
 
     :param state: What the node knows.
-    :param node: Name of this node.
     """
 
-    def __init__(self, *, state: RouterState, node: str) -> None:
+    def __init__(self, *, state: RouterState) -> None:
         self._state = state
-        self._node = node
-        self._members: tuple[str, ...] = (node,)
+        self._node = state.rules.node
+        self._members: tuple[str, ...] = (self._node,)
         self._orders: dict[tuple[str, ...], _Orders] = {}
 
     def refresh(self) -> bool:
--- a/packages/bluebellbay/bluebellbay/coordination/routing/part.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/part.py
@@ -9,7 +9,6 @@
 from bluebellbay.coordination.base_part import BasePart
 from bluebellbay.coordination.base_part import Step
 from bluebellbay.coordination.routing.context import RoutingContext
-from bluebellbay.coordination.routing.rules import RouterRules
 from bluebellbay.protocol.event import Event
 
 Actions = Mapping[type, Callable[[Any, float], None]]
@@ -19,13 +18,11 @@
     """One kind of decision on routed requests.
 
     :param context: What the requests of this node share.
-    :param rules: What the node must keep to.
     """
 
-    def __init__(self, *, context: RoutingContext, rules: RouterRules) -> None:
+    def __init__(self, *, context: RoutingContext) -> None:
         self.context = context
         self.state = context.state
-        self.rules = rules
         self._actions = self.list_actions()
 
     @abc.abstractmethod
--- a/packages/bluebellbay/bluebellbay/coordination/routing/replicas.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/replicas.py
@@ -8,7 +8,6 @@
 from bluebellbay.coordination.routing.context import RoutingContext
 from bluebellbay.coordination.routing.part import Actions
 from bluebellbay.coordination.routing.part import RoutingPart
-from bluebellbay.coordination.routing.rules import RouterRules
 from bluebellbay.protocol.event import TimePassed
 from bluebellbay.protocol.exchange import ForgetReplica
 from bluebellbay.protocol.exchange import ReplicaSeen
@@ -27,11 +26,10 @@
     """Takes the entries of replicas that the store holds.
 
     :param context: What the requests of this node share.
-    :param rules: What the node must keep to.
     """
 
-    def __init__(self, *, context: RoutingContext, rules: RouterRules) -> None:
-        super().__init__(context=context, rules=rules)
+    def __init__(self, *, context: RoutingContext) -> None:
+        super().__init__(context=context)
         self._store_lost = False
         self._regained_at = -math.inf
         self._unlisted: dict[str, None] = {}
--- a/packages/bluebellbay/bluebellbay/coordination/routing/retry_budget.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/retry_budget.py
@@ -1,6 +1,6 @@
 """Keeps repeats within a service's share, though nodes don't talk."""
 
-from bluebellbay.coordination.routing.rules import RouterRules
+from bluebellbay.protocol.router_rules import RetryRules
 from bluebellbay.state.router import RouterState
 from bluebellbay.state.sliding_count import SlidingCount
 
@@ -16,21 +16,20 @@
     that starts again doesn't know what the one before it spent, so its
     slack grows from nothing over a window.
 
-    :param rules: The bounds.
-    :param state: What the node knows, with the count of nodes.
+    :param state: What the node knows, with the bounds and the count of nodes.
     :param started_at: Time in seconds when the process started.
     """
 
-    def __init__(
-        self, *, rules: RouterRules, state: RouterState, started_at: float
-    ) -> None:
-        self._rules = rules.retries
-        self._first_start = rules.first_start
+    def __init__(self, *, state: RouterState, started_at: float) -> None:
         self._state = state
         self._started_at = started_at
         self._requests = SlidingCount()
         self._repeats = SlidingCount()
 
+    @property
+    def _rules(self) -> RetryRules:
+        return self._state.rules.retries
+
     def add_request(self, now: float) -> None:
         """Count a request.
 
@@ -72,7 +71,7 @@
 
     def _find_slack(self, now: float) -> float:
         slack = self._rules.slack / max(1, self._state.nodes)
-        if self._first_start:
+        if self._state.rules.first_start:
             return slack
         ripe = (now - self._started_at) / self._rules.window_s
         return slack * min(1.0, max(0.0, ripe))
@@ -81,12 +80,10 @@
 class RetryBudgetTable:
     """The budgets of all services.
 
-    :param rules: The bounds.
     :param state: What the node knows.
     """
 
-    def __init__(self, *, rules: RouterRules, state: RouterState) -> None:
-        self._rules = rules
+    def __init__(self, *, state: RouterState) -> None:
         self._state = state
         self._started_at: float | None = None
         self._budgets: dict[str, RetryBudget] = {}
@@ -103,8 +100,6 @@
         budget = self._budgets.get(service)
         if budget is None:
             budget = self._budgets[service] = RetryBudget(
-                rules=self._rules,
-                state=self._state,
-                started_at=self._started_at,
+                state=self._state, started_at=self._started_at
             )
         return budget
--- a/packages/bluebellbay/bluebellbay/coordination/routing/rules.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/rules.py
@@ -1,38 +1,37 @@
-"""Bounds that the platform sets for a whole fleet of nodes."""
+"""Takes the rules of changed settings."""
 
 import dataclasses
 
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class RetryRules:
-    """Bound on the repeated arrivals at one service, from all nodes.
-
-    :param share: Repeats allowed, as a fraction of the requests.
-    :param slack: Repeats allowed besides, in each window.
-    :param window_s: Length of the window in seconds.
-    """
-
-    share: float = 0.2
-    slack: float = 50.0
-    window_s: float = 10.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class RouterRules:
-    """What the routing core must keep to.
-
-    :param node: Name of this node.
-    :param failure_domain: Where this node runs.
-    :param first_start: Whether the whole fleet starts for the first time.
-    :param nodes: Nodes to reckon with until they are counted.
-    :param retries: Bound on repeated arrivals.
-    :param grace_s: Seconds from the request to end until the process is
-        killed.
-    """
-
-    node: str
-    failure_domain: str
-    first_start: bool = False
-    nodes: int = 4
-    retries: RetryRules = dataclasses.field(default_factory=RetryRules)
-    grace_s: float = 6.0
+from bluebellbay.coordination.routing.part import Actions
+from bluebellbay.coordination.routing.part import RoutingPart
+from bluebellbay.protocol.exchange import RulesFound
+
+
+class RulesPart(RoutingPart):
+    """Keeps to the rules that the settings give now."""
+
+    def list_actions(self) -> Actions:
+        """List what is done for each kind of event."""
+        return {RulesFound: self._take_rules}
+
+    def _take_rules(self, event: RulesFound, now: float) -> None:
+        del now
+        former = self.state.rules
+        # Who this node is, and how it came up, hold until it ends.
+        rules = dataclasses.replace(
+            event.rules,
+            node=former.node,
+            failure_domain=former.failure_domain,
+            first_start=former.first_start,
+            nodes=former.nodes,
+        )
+        if rules == former:
+            return
+        self.state.rules = rules
+        self.context.log(
+            "Took the rules of changed settings.",
+            retry_share=rules.retries.share,
+            retry_slack=rules.retries.slack,
+            retry_window_s=rules.retries.window_s,
+            grace_s=rules.grace_s,
+        )
--- a/packages/bluebellbay/bluebellbay/protocol/exchange.py
+++ b/packages/bluebellbay/bluebellbay/protocol/exchange.py
@@ -7,6 +7,7 @@
 from bluebellbay.protocol.replica import ReplicaEntry
 from bluebellbay.protocol.route import CallerLimits
 from bluebellbay.protocol.route import RouteConfiguration
+from bluebellbay.protocol.router_rules import RouterRules
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -203,6 +204,16 @@
     replica_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RulesFound:
+    """The settings were read anew.
+
+    :param rules: What the node must keep to now.
+    """
+
+    rules: RouterRules
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StoreLost:
     """The store does not answer.
@@ -466,6 +477,7 @@
     | ReplicasListed
     | ReplicaSeen
     | ReplicaUnlisted
+    | RulesFound
     | StoreLost
     | StoreRegained
     | DelegationAnswered
--- a/packages/bluebellbay/bluebellbay/state/router.py
+++ b/packages/bluebellbay/bluebellbay/state/router.py
@@ -2,6 +2,7 @@
 
 import random
 
+from bluebellbay.protocol.router_rules import RouterRules
 from bluebellbay.state.peer import PeerRecord
 from bluebellbay.state.replica import ReplicaRecord
 from bluebellbay.state.replica import ReplicaTable
@@ -11,21 +12,20 @@
 class RouterState:
     """The state that the parts of the routing core share.
 
-    :param failure_domain: Where this node runs.
+    :param rules: What the node must keep to.
     :param rng: The only source of randomness.
-    :param nodes: Nodes to reckon with until they are counted.
+    :ivar nodes: Nodes that share limits, this one included.
     :ivar draining: Whether this node is ending.
     :ivar isolated: Whether it is cut off from other failure domains.
     :ivar far_heard_at: Time in seconds when a replica in another failure
         domain answered last.
     """
 
-    def __init__(
-        self, *, failure_domain: str, rng: random.Random, nodes: int
-    ) -> None:
-        self.failure_domain = failure_domain
+    def __init__(self, *, rules: RouterRules, rng: random.Random) -> None:
+        self.rules = rules
+        self.failure_domain = rules.failure_domain
         self.rng = rng
-        self.nodes = nodes
+        self.nodes = rules.nodes
         self.routes = RouteTable()
         self.replicas = ReplicaTable()
         self.peers: dict[str, PeerRecord] = {}
--- a/packages/bluebellbay/bluebellbay/transport/follower.py
+++ b/packages/bluebellbay/bluebellbay/transport/follower.py
@@ -69,7 +69,7 @@
         pace: StorePace,
         count_nodes: Callable[[], int],
     ) -> None:
-        self._pace = pace
+        self.pace = pace
         self._count_nodes = count_nodes
         self._reactor = reactor
         self._client = client
@@ -127,14 +127,14 @@
     async def _read_changes(self, revision: int) -> int:
         nodes = self._count_nodes()
         changes = await self._client.watch(
-            revision, self._pace.find_wait(nodes)
+            revision, self.pace.find_wait(nodes)
         )
         self._regain()
         for item in changes.items:
             for event in self._schema.read_change(item):
                 self._report(event)
         if changes.items:
-            gather_s = self._pace.find_gather(nodes)
+            gather_s = self.pace.find_gather(nodes)
             await deferLater(self._reactor, gather_s)
         return max(revision, changes.revision)
 
--- a/packages/bluebellbayd/bluebellbayd/router.py
+++ b/packages/bluebellbayd/bluebellbayd/router.py
@@ -13,7 +13,6 @@
 from twisted.internet.task import LoopingCall
 
 from bluebellbay.coordination.routing.core import RoutingCore
-from bluebellbay.coordination.routing.rules import RouterRules
 from bluebellbay.protocol.command import LogDecision
 from bluebellbay.protocol.command import ReportHealth
 from bluebellbay.protocol.command import StopProcess
@@ -31,6 +30,7 @@
 from bluebellbay.protocol.exchange import MergedAnswer
 from bluebellbay.protocol.exchange import ProbePeer
 from bluebellbay.protocol.exchange import ProbeReplica
+from bluebellbay.protocol.exchange import RulesFound
 from bluebellbay.protocol.exchange import SendAttempt
 from bluebellbay.protocol.exchange import SetCallerLimits
 from bluebellbay.protocol.exchange import SetConnectionLimit
@@ -38,6 +38,7 @@
 from bluebellbay.protocol.exchange import WithdrawDelegation
 from bluebellbay.protocol.node import NodeEntry
 from bluebellbay.protocol.route import CallerLimits
+from bluebellbay.protocol.router_rules import RouterRules
 from bluebellbay.transport._address import parse_address
 from bluebellbay.transport.delegation import DelegationLink
 from bluebellbay.transport.delegation import DelegationWire
@@ -192,7 +193,6 @@
         """Turn SIGTERM and SIGINT into requests to shut down."""
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._take_signal)
-        signal.signal(signal.SIGHUP, self._take_reload)
 
     def feed(self, event: Event) -> None:
         """Give the core an event and carry out what follows from it.
@@ -201,6 +201,15 @@
         """
         self._driver.feed(event)
 
+    def apply(self, rules: RouterRules, pace: StorePace) -> None:
+        """Go on with what changed settings say.
+
+        :param rules: What the node must keep to.
+        :param pace: How often the store is called.
+        """
+        self._follower.pace = pace
+        self.feed(RulesFound(rules=rules))
+
     def note_unreadable(self, key: str, reason: str) -> None:
         """Log an item of the store that can't be read.
 
@@ -294,11 +303,6 @@
     def _take_signal(self, number: int, frame: Any) -> None:
         self._reactor.callFromThread(self.feed, ShutdownRequested())
 
-    def _take_reload(self, number: int, frame: Any) -> None:
-        self._reactor.callFromThread(
-            self._log, "Settings may have changed; they hold from a start on"
-        )
-
     def _stop(self) -> None:
         if self._stopping:
             return
