Answer a peer's query by the peer's configuration

Cause: changes are gathered for up to 2 s, so nodes differ by a version for that long, and a node refused each query of a peer with a newer one, or over shards of another set: every change and reshard sent wide queries back to the node that had left them to their owners. Now the terms tell all that hangs on the configuration: shards, records, attempts. The former scenario, a refusal under a newer version, guarded nothing but the shards' names; it is replaced by two: an unknown route is refused, and a set not known here is asked as named, with the attempts and records named. A peer that can't read a query (another version of the program) has run nothing of it, so it is asked from the node itself.

--- a/features/replicas.feature
+++ b/features/replicas.feature
@@ -102,12 +102,17 @@
 
   Scenario: A node asked by a peer refuses what it can't answer for
     Given a query route over 4 shards
-    When a peer asks for 2 shards under a newer configuration
+    When a peer asks for 2 shards on a route that is not known here
     Then it is answered "refused" as not run
     When the node is asked to end
     And a peer asks for 2 shards
     Then it is answered "refused" as not run
 
+  Scenario: A peer's query is answered by the peer's configuration
+    Given a query route over 4 shards
+    When a peer asks for 2 shards of a set that is not known here
+    Then just these are asked, each of one replica, for 2 records
+
   Scenario: A replica that is seldom asked is known as slow after one reply
     Given a safe route to 2 replicas with known response times
     When 2 s later one replica takes 0.2 s for a reply
--- /dev/null
+++ b/features/steps/delegation_steps.py
@@ -0,0 +1,68 @@
+"""Steps about what nodes write to each other."""
+
+import behave
+
+from bluebellbay.protocol.exchange import AnswerKind
+from bluebellbay.protocol.exchange import AttemptFailed
+from bluebellbay.protocol.exchange import DelegationAnswered
+from bluebellbay.protocol.exchange import ErrorAnswer
+from bluebellbay.protocol.exchange import MergedAnswer
+from bluebellbay.transport.connection import CallAnswered
+from bluebellbay.transport.delegation import DelegationWire
+from bluebellbay.transport.delegation import read_end
+from bluebellbay.transport.wire import MalformedRequest
+from bluebellbay.transport.wire import RequestHead
+
+ATTEMPT = 7
+ANSWER = MergedAnswer(
+    exchange=0, records=b"0123456789abcdef", digests=("a", "b"), missing=1
+)
+
+
+@behave.when("a peer's answer of 2 shards is written and read")
+def step_round_trip(context):
+    written = DelegationWire().write_answer(ANSWER, close=False)
+    body = written.split(b"\r\n\r\n", 1)[1]
+    context.event = read_end(ATTEMPT, CallAnswered(status=200, body=body))
+
+
+@behave.then("it is the answer that was written")
+def step_same(context):
+    expected = DelegationAnswered(attempt=ATTEMPT, answer=ANSWER)
+    assert context.event == expected, context.event
+
+
+@behave.when("a peer answers a query with status {status:d}")
+def step_status(context, status):
+    end = CallAnswered(status=status, body=b"garbage")
+    context.event = read_end(ATTEMPT, end)
+
+
+@behave.then("the query was refused and has not run")
+def step_refused(context):
+    answer = context.event.answer
+    assert isinstance(answer, ErrorAnswer)
+    assert answer.kind is AnswerKind.REFUSED
+    assert not answer.ran
+
+
+@behave.then("the query has failed and may have run")
+def step_failed(context):
+    assert isinstance(context.event, AttemptFailed)
+    assert context.event.sent
+
+
+@behave.when("a node is sent a query of an older form")
+def step_older(context):
+    head = RequestHead(
+        method=b"POST", target=b"/v1/delegated-query", headers=()
+    )
+    try:
+        DelegationWire().read_request(head, b"")
+    except MalformedRequest as error:
+        context.error = error
+
+
+@behave.then("it says that it can't read it")
+def step_malformed(context):
+    assert context.error is not None
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -11,6 +11,7 @@
 from routing_world import RoutingWorld
 
 from bluebellbay.coordination.routing.top_records import merge_records
+from bluebellbay.coordination.routing.top_records import RECORD_BYTES
 from bluebellbay.protocol.command import ReportHealth
 from bluebellbay.protocol.event import ShutdownRequested
 from bluebellbay.protocol.exchange import AttemptFailed
@@ -38,6 +39,7 @@
 
 ROUTE = "route"
 SERVICE = "service"
+OTHER_SHARDS = ("new-0", "new-1")
 
 
 def start(context, *routes, replicas=()):
@@ -588,25 +590,45 @@
 
 @behave.when("a peer asks for 2 shards")
 def step_peer_asks(context):
-    ask_as_peer(context, version=5)
+    ask_as_peer(context, ROUTE, ("shard-0", "shard-1"))
 
 
-@behave.when("a peer asks for 2 shards under a newer configuration")
-def step_peer_asks_newer(context):
-    ask_as_peer(context, version=6)
+@behave.when("a peer asks for 2 shards on a route that is not known here")
+def step_peer_asks_unknown(context):
+    ask_as_peer(context, "other", ("shard-0", "shard-1"))
 
 
-def ask_as_peer(context, *, version):
+@behave.when("a peer asks for 2 shards of a set that is not known here")
+def step_peer_asks_other_set(context):
+    context.world.see(
+        *(build_replica(f"r-{shard}", shard) for shard in OTHER_SHARDS)
+    )
+    ask_as_peer(context, ROUTE, OTHER_SHARDS)
+
+
+def ask_as_peer(context, route, shards):
     context.exchange += 1
     terms = DelegationTerms(
-        version=version, shards=("shard-0", "shard-1"), objective_s=0.1
+        shards=shards, objective_s=0.1, most_records=2, most_attempts=1
     )
-    request = build_request(ROUTE, number=context.exchange, delegation=terms)
+    request = build_request(route, number=context.exchange, delegation=terms)
     context.world.feed(
         ExchangeOpened(exchange=context.exchange, request=request, age_s=0.0)
     )
 
 
+@behave.then("just these are asked, each of one replica, for 2 records")
+def step_peer_terms(context):
+    world = context.world
+    world.advance(0.09)
+    sent = world.list_sent(context.exchange)
+    assert sorted(item.replica.service for item in sent) == [*OTHER_SHARDS]
+    reply_to(context)
+    answer = find_answer(context)
+    assert sorted(answer.digests) == [*OTHER_SHARDS]
+    assert len(answer.records) == 2 * RECORD_BYTES
+
+
 @behave.when("the node is asked to end")
 def step_end(context):
     context.world.feed(ShutdownRequested())
--- a/packages/bluebellbay/bluebellbay/coordination/routing/delegation.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/delegation.py
@@ -145,18 +145,18 @@
         """Whether the peer has answered or failed."""
         return self.over
 
-    def build_terms(self, version: int, now: float) -> DelegationTerms:
+    def build_terms(self, now: float) -> DelegationTerms:
         """Build what is asked of the peer.
 
-        :param version: Version of the configuration in force here.
         :param now: Present time in seconds.
         :returns: The terms.
         """
         left_s = self.run.objective_at - now - PEER_WAYS_S
         return DelegationTerms(
-            version=version,
             shards=self.shards,
             objective_s=max(0.0, left_s),
+            most_records=self.run.rule.most_records,
+            most_attempts=self.run.route.most_attempts,
         )
 
     def list_wakes(self) -> tuple[float, float]:
--- a/packages/bluebellbay/bluebellbay/coordination/routing/delegations.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/delegations.py
@@ -46,13 +46,12 @@
         peer.in_flight += 1
         for wake_at in delegation.list_wakes():
             self._context.timers.add(wake_at, delegation)
-        version = self._context.state.routes.version
         self._context.emit(
             DelegateQuery(
                 attempt=delegation.number,
                 request=run.request,
                 peer=peer.entry,
-                terms=delegation.build_terms(version, now),
+                terms=delegation.build_terms(now),
                 deadline_s=run.deadline - now,
             )
         )
--- a/packages/bluebellbay/bluebellbay/coordination/routing/exchange.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/exchange.py
@@ -24,6 +24,7 @@
 from bluebellbay.protocol.exchange import ForgetReplica
 from bluebellbay.protocol.exchange import RefusalKind
 from bluebellbay.protocol.route import Route
+from bluebellbay.protocol.route import ScatterRule
 
 
 class ExchangePart(RoutingPart):
@@ -94,8 +95,6 @@
         return (
             route is not None
             and route.scatter is not None
-            and set(terms.shards) <= set(route.scatter.shards)
-            and self.state.routes.version >= terms.version
             and not self.state.draining
         )
 
@@ -106,8 +105,11 @@
             return PlainRun(arrival=arrival, service=self._drawer.draw(route))
         terms = arrival.opened.request.delegation
         if terms is not None:
-            rule = dataclasses.replace(
-                rule, shards=terms.shards, least_coverage=0.0
+            arrival = _follow_terms(arrival, terms)
+            rule = ScatterRule(
+                shards=terms.shards,
+                most_records=terms.most_records,
+                least_coverage=0.0,
             )
         return ScatterRun(arrival=arrival, rule=rule)
 
@@ -198,3 +200,10 @@
         ]
         for exchange in finished:
             del self._runs[exchange]
+
+
+def _follow_terms(arrival: Arrival, terms: DelegationTerms) -> Arrival:
+    route = dataclasses.replace(
+        arrival.route, most_attempts=terms.most_attempts
+    )
+    return dataclasses.replace(arrival, route=route)
--- a/packages/bluebellbay/bluebellbay/coordination/routing/scatter.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/scatter.py
@@ -27,7 +27,7 @@
 
     def __init__(self, *, arrival: Arrival, rule: ScatterRule) -> None:
         super().__init__(arrival=arrival)
-        self._rule = rule
+        self.rule = rule
         self._least = count_least(len(rule.shards), rule.least_coverage)
         self._legs: list[Leg] = []
         self._delegations: dict[int, Delegation] = {}
@@ -58,7 +58,7 @@
         if not self._has_enough(now):
             return
         if self._terms is None:
-            self._limit = self.context.admission.find(self._rule.shards)
+            self._limit = self.context.admission.find(self.rule.shards)
             if not self._limit.admit(self.route.rank):
                 limit, self._limit = self._limit, None
                 self.fail(
@@ -68,7 +68,7 @@
         self.context.timers.add(self.deadline, self)
         if self.objective_at < self.deadline:
             self.context.timers.add(self.objective_at, self)
-        shards = self._rule.shards
+        shards = self.rule.shards
         if self._terms is None:
             shards = self._delegate_far(shards, now)
             shards = self._delegate_near(shards, now)
@@ -182,9 +182,7 @@
     def _delegate_near(
         self, shards: tuple[str, ...], now: float
     ) -> tuple[str, ...]:
-        assignments = self.context.owners.assign(
-            self._rule.shards, shards, now
-        )
+        assignments = self.context.owners.assign(self.rule.shards, shards, now)
         return self._delegate(assignments, shards, now)
 
     def _delegate(
@@ -204,7 +202,7 @@
     def _has_enough(self, now: float) -> bool:
         selector = self.context.selector
         usable = sum(
-            bool(selector.count_usable(shard)) for shard in self._rule.shards
+            bool(selector.count_usable(shard)) for shard in self.rule.shards
         )
         if usable >= self._least:
             return True
@@ -238,7 +236,7 @@
     def _decide(self, now: float) -> None:
         if self.finished:
             return
-        shards = len(self._rule.shards)
+        shards = len(self.rule.shards)
         replied = self._replied
         due = now >= self.objective_at
         # Each reply brings a decision; most need no look at every leg.
@@ -265,7 +263,7 @@
             or (leg.closed and leg.reason is LossReason.REFUSED)
             for leg in self._legs
         )
-        if waiting > len(self._rule.shards) - self._least:
+        if waiting > len(self.rule.shards) - self._least:
             self._limit.note_queues(now)
 
     def _count_hopeful(self, now: float) -> int:
@@ -280,11 +278,11 @@
         digests = [reply.digest for reply in self._replies.values()]
         for answer in self._merged:
             digests.extend(answer.digests)
-        missing = len(self._rule.shards) - len(digests)
+        missing = len(self.rule.shards) - len(digests)
         self.answer(
             MergedAnswer(
                 exchange=self.exchange,
-                records=merge_records(bodies, self._rule.most_records),
+                records=merge_records(bodies, self.rule.most_records),
                 digests=tuple(digests),
                 missing=missing,
             ),
--- a/packages/bluebellbay/bluebellbay/protocol/exchange.py
+++ b/packages/bluebellbay/bluebellbay/protocol/exchange.py
@@ -14,14 +14,19 @@
 class DelegationTerms:
     """What a node asks of a peer that runs part of a query in its place.
 
-    :param version: Least version of the configuration to run it under.
+    It is the asking node's configuration that the query is answered by, so
+    all that hangs on it is told.
+
     :param shards: Services that hold the shards wanted.
     :param objective_s: Seconds until the answer is wanted.
+    :param most_records: Greatest records wanted.
+    :param most_attempts: Most replicas of a shard that it may go to.
     """
 
-    version: int
     shards: tuple[str, ...]
     objective_s: float
+    most_records: int
+    most_attempts: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/bluebellbay/bluebellbay/transport/delegation.py
+++ b/packages/bluebellbay/bluebellbay/transport/delegation.py
@@ -22,6 +22,7 @@
 from bluebellbay.protocol.exchange import PeerProbed
 from bluebellbay.protocol.exchange import ProbePeer
 from bluebellbay.protocol.exchange import RoutedRequest
+from bluebellbay.protocol.exchange import RoutingEvent
 from bluebellbay.protocol.exchange import WithdrawDelegation
 from bluebellbay.protocol.node import NodeEntry
 from bluebellbay.transport.connection import CallAnswered
@@ -35,10 +36,12 @@
 from bluebellbay.transport.wire import RequestHead
 
 METHOD = b"POST"
-PATH = b"/v1/delegated-query"
+# Another number for each form of the query that older nodes can't read.
+PATH = b"/v2/delegated-query"
 PROBE_METHOD = b"GET"
 PROBE_PATH = b"/v1/probe"
 OK = 200
+BAD_REQUEST = 400
 MOST_CONNECTIONS = 64
 
 
@@ -195,19 +198,29 @@
 
     def _report_end(self, number: int, end: CallEnd) -> None:
         self._calls.pop(number, None)
-        if not isinstance(end, CallAnswered):
-            self._report(
-                AttemptFailed(attempt=number, sent=end.sent, reason=end.reason)
-            )
-            return
-        answer = _read_answer(end)
-        if answer is None:
-            reason = f"unreadable answer, status {end.status}"
-            self._report(
-                AttemptFailed(attempt=number, sent=True, reason=reason)
-            )
-            return
-        self._report(DelegationAnswered(attempt=number, answer=answer))
+        self._report(read_end(number, end))
+
+
+def read_end(number: int, end: CallEnd) -> RoutingEvent:
+    """Say what the end of a call to a peer means.
+
+    A peer that can't read a query, being of another version of this program,
+    has run nothing of it.
+
+    :param number: Number of the attempt.
+    :param end: How the call ended.
+    :returns: The event to report.
+    """
+    if not isinstance(end, CallAnswered):
+        return AttemptFailed(attempt=number, sent=end.sent, reason=end.reason)
+    if end.status == BAD_REQUEST:
+        refused = ErrorAnswer(exchange=0, kind=AnswerKind.REFUSED, ran=False)
+        return DelegationAnswered(attempt=number, answer=refused)
+    answer = _read_answer(end)
+    if answer is None:
+        reason = f"unreadable answer, status {end.status}"
+        return AttemptFailed(attempt=number, sent=True, reason=reason)
+    return DelegationAnswered(attempt=number, answer=answer)
 
 
 def _build_answer(answer: ExchangeAnswer) -> _Answer:
