--- a/features/steps/platform_world.py
+++ b/features/steps/platform_world.py
@@ -1,6 +1,7 @@
 """Stand-ins on the platform's wire, and the program as a process."""
 
 import base64
+import collections
 import contextlib
 import http.client
 import http.server
@@ -16,6 +17,11 @@
 from urllib.parse import parse_qs
 from urllib.parse import urlsplit
 
+import msgspec
+
+from bluebellbay_report.record import RunRecord
+from bluebellbay_report.record import Trouble
+from bluebellbay_report.record import Window
 from bluebellbay_standins.process import name_host
 
 HOST = "calls.example"
@@ -23,6 +29,7 @@
 LOOPBACK = name_host(200)
 AMPLE_S = 60
 POLL_S = 0.05
+NOT_RUN = (408, 421, 429, 503)
 
 
 def find_ports(count):
@@ -42,6 +49,63 @@
         time.sleep(POLL_S)
 
 
+class RunLog:
+    """What callers got and what was done to the programs, second by second."""
+
+    def __init__(self, title):
+        self._title = title
+        self._began_at = time.monotonic()
+        self._calls = []
+        self._troubles = []
+
+    def note_call(self, began_at, status):
+        ms = (time.monotonic() - began_at) * 1000
+        self._calls.append((began_at - self._began_at, status, ms))
+
+    def note_fault(self, fault):
+        start_s = time.monotonic() - self._began_at
+        try:
+            fault()
+        finally:
+            self._troubles.append(
+                Trouble(
+                    start_s=start_s,
+                    end_s=time.monotonic() - self._began_at,
+                    name=fault.__name__.strip("_"),
+                )
+            )
+
+    def write(self, path):
+        by_second = collections.defaultdict(list)
+        for start_s, status, ms in self._calls:
+            by_second[int(start_s)].append((status, ms))
+        record = RunRecord(
+            title=self._title,
+            windows=tuple(
+                build_window(second, calls)
+                for second, calls in sorted(by_second.items())
+            ),
+            troubles=tuple(self._troubles),
+        )
+        pathlib.Path(path).write_bytes(msgspec.json.encode(record))
+
+
+def build_window(second, calls):
+    times_ms = sorted(ms for _, ms in calls)
+    in_time = sum(200 <= status < 300 for status, _ in calls)
+    refused = sum(status in NOT_RUN for status, _ in calls)
+    return Window(
+        start_s=float(second),
+        asked=len(calls),
+        in_time=in_time,
+        late=0,
+        refused=refused,
+        failed=len(calls) - in_time - refused,
+        median_ms=times_ms[len(times_ms) // 2],
+        tail_ms=times_ms[int(0.99 * len(times_ms))],
+    )
+
+
 class Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     disable_nagle_algorithm = True
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -12,11 +12,12 @@
 import threading
 import time
 
+from platform_world import NOT_RUN
 from platform_world import PlatformWorld
+from platform_world import RunLog
 from platform_world import wait_for
 
 CALLERS = 4
-NOT_RUN = (408, 421, 429, 503)
 SERVED_AGAIN_S = 20.0
 FAULT_GAP_S = (0.1, 0.7)
 
@@ -26,9 +27,13 @@
 
     def __init__(self, seed):
         self.rng = random.Random(seed)
-        self.world = PlatformWorld(programs=3, shards=9, postings=3)
+        # A wide set of shards is divided among the programs.
+        narrow = seed % 2
+        shards = 4 if narrow else 36
+        self.world = PlatformWorld(programs=3, shards=2 * shards, postings=3)
         # Two cuts of the index; the configuration names one at a time.
-        self.cuts = (self.world.shards[:4], self.world.shards[4:])
+        self.cuts = (self.world.shards[:shards], self.world.shards[shards:])
+        self.log = RunLog(f"soak, seed {seed}")
         self.version = 7
         self.sequence = 1
         self.over = threading.Event()
@@ -80,7 +85,7 @@
             )
         )
         self.faults.append(fault.__name__)
-        fault()
+        self.log.note_fault(fault)
 
     def _kill(self):
         program = self.rng.choice(self.world.programs)
@@ -144,14 +149,19 @@
             number += 1
             name = f"{caller}-{number}"
             program = rng.choice(self.world.programs)
+            send = self._post if rng.random() < 0.5 else self._query
+            began_at = time.monotonic()
+            status = 0
             with contextlib.suppress(OSError, http.client.HTTPException):
-                if rng.random() < 0.5:
-                    self._post(program, name, number)
-                else:
-                    answer, body = program.call(f"/query/{name}", number=name)
-                    self.queries.append((answer.status, answer.headers, body))
+                status = send(program, name, number)
+            self.log.note_call(began_at, status)
             time.sleep(0.005)
 
+    def _query(self, program, name, number):
+        answer, body = program.call(f"/query/{name}", number=name)
+        self.queries.append((answer.status, answer.headers, body))
+        return answer.status
+
     def _post(self, program, name, number):
         path = f"/post/{name}"
         body = f"{name} " * (number % 50)
@@ -163,6 +173,7 @@
             status = answer.status
         finally:
             self.postings.append((path, body.encode(), status, echo))
+        return status
 
     def _check(self):
         runs = {}
@@ -228,6 +239,9 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument(
+        "--record", help="file for bluebellbay_report; the last seed's"
+    )
     options = parser.parse_args()
     failed = 0
     for seed in range(options.first, options.first + options.seeds):
@@ -237,6 +251,8 @@
         except AssertionError as error:
             failed += 1
             print(f"seed {seed}: FAILED {error} after {soak.faults}")
+        if options.record:
+            soak.log.write(options.record)
     return 1 if failed else 0
 
 
