--- a/features/steps/delegation_steps.py
+++ b/features/steps/delegation_steps.py
@@ -2,9 +2,9 @@
 
 import behave
 
+from bluebellbay.protocol.delegation import DelegationAnswered
 from bluebellbay.protocol.exchange import AnswerKind
 from bluebellbay.protocol.exchange import AttemptFailed
-from bluebellbay.protocol.exchange import DelegationAnswered
 from bluebellbay.protocol.exchange import ErrorAnswer
 from bluebellbay.protocol.exchange import MergedAnswer
 from bluebellbay.transport.connection import CallAnswered
--- a/features/steps/follower_steps.py
+++ b/features/steps/follower_steps.py
@@ -6,10 +6,10 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from bluebellbay.protocol.exchange import NodeUnlisted
-from bluebellbay.protocol.exchange import StoreLost
-from bluebellbay.protocol.exchange import StoreRegained
 from bluebellbay.protocol.node import NodeEntry
+from bluebellbay.protocol.registry import NodeUnlisted
+from bluebellbay.protocol.registry import StoreLost
+from bluebellbay.protocol.registry import StoreRegained
 from bluebellbay.transport.follower import StoreFollower
 from bluebellbay.transport.store import HistoryGone
 from bluebellbay.transport.store import LeaseGone
--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -9,16 +9,16 @@
 from routing_world import DOMAIN
 from routing_world import RoutingWorld
 
+from bluebellbay.protocol.delegation import DelegationAnswered
+from bluebellbay.protocol.delegation import PeerProbed
+from bluebellbay.protocol.delegation import ProbePeer
 from bluebellbay.protocol.exchange import AnswerKind
 from bluebellbay.protocol.exchange import AttemptFailed
-from bluebellbay.protocol.exchange import ConfigurationFound
-from bluebellbay.protocol.exchange import DelegationAnswered
 from bluebellbay.protocol.exchange import ErrorAnswer
-from bluebellbay.protocol.exchange import NodesListed
-from bluebellbay.protocol.exchange import PeerProbed
-from bluebellbay.protocol.exchange import ProbePeer
-from bluebellbay.protocol.exchange import SetConnectionLimit
 from bluebellbay.protocol.node import NodeEntry
+from bluebellbay.protocol.registry import ConfigurationFound
+from bluebellbay.protocol.registry import NodesListed
+from bluebellbay.protocol.registry import SetConnectionLimit
 
 ROUTE = "route"
 OTHER_DOMAINS = ("zone-b", "zone-c")
--- /dev/null
+++ b/features/steps/peer_steps.py
@@ -0,0 +1,214 @@
+"""Steps about nodes that query for each other, and being cut off."""
+
+import behave
+from routing_scene import arrive
+from routing_scene import build_records
+from routing_scene import find_answer
+from routing_scene import list_shards
+from routing_scene import read_last
+from routing_scene import reply_to
+from routing_scene import ROUTE
+from routing_scene import start
+from routing_world import build_replica
+from routing_world import build_request
+from routing_world import build_route
+from routing_world import DOMAIN
+
+from bluebellbay.coordination.routing.top_records import RECORD_BYTES
+from bluebellbay.protocol.command import ReportHealth
+from bluebellbay.protocol.delegation import DelegationAnswered
+from bluebellbay.protocol.delegation import PeerProbed
+from bluebellbay.protocol.delegation import ProbeReplica
+from bluebellbay.protocol.delegation import ReplicaProbed
+from bluebellbay.protocol.event import ShutdownRequested
+from bluebellbay.protocol.exchange import AttemptFailed
+from bluebellbay.protocol.exchange import DelegationTerms
+from bluebellbay.protocol.exchange import ExchangeOpened
+from bluebellbay.protocol.exchange import MergedAnswer
+from bluebellbay.protocol.node import NodeEntry
+from bluebellbay.protocol.registry import NodeSeen
+from bluebellbay.protocol.registry import SetKeepAlive
+
+OTHER_SHARDS = ("new-0", "new-1")
+
+
+@behave.given('a query route over 6 shards, {far:d} only in "{domain}"')
+def step_query_far(context, far, domain):
+    shards = list_shards(6)
+    start(
+        context,
+        build_route(ROUTE, shards=shards),
+        replicas=[
+            build_replica(
+                f"r-{shard}",
+                shard,
+                failure_domain=domain if number < far else DOMAIN,
+            )
+            for number, shard in enumerate(shards)
+        ],
+    )
+
+
+@behave.given('a peer in "{domain}"')
+def step_peer(context, domain):
+    node = NodeEntry(
+        name="peer", address="10.0.0.9:7000", failure_domain=domain
+    )
+    context.world.feed(NodeSeen(node=node))
+
+
+@behave.then("the peer is asked for 4 shards and 2 are asked from here")
+def step_delegated(context):
+    (command,) = context.world.delegations.values()
+    assert len(command.terms.shards) == 4
+    assert len(context.world.list_sent(context.exchange)) == 2
+
+
+@behave.when("the peer answers with 3 shards and the others reply")
+def step_peer_answers(context):
+    (number,) = context.world.delegations
+    answer = MergedAnswer(
+        exchange=0,
+        records=build_records("shard-0"),
+        digests=("shard-0", "shard-1", "shard-2"),
+        missing=1,
+    )
+    context.world.feed(DelegationAnswered(attempt=number, answer=answer))
+    reply_to(context)
+
+
+@behave.when("the peer can't be reached")
+def step_peer_unreached(context):
+    lose_peer(context, sent=False)
+
+
+@behave.when("the peer breaks off")
+def step_peer_breaks(context):
+    lose_peer(context, sent=True)
+
+
+def lose_peer(context, *, sent):
+    (number,) = context.world.delegations
+    context.world.feed(
+        AttemptFailed(attempt=number, sent=sent, reason="connection")
+    )
+
+
+@behave.then("the next request is sent to no peer")
+def step_no_peer(context):
+    before = len(context.world.delegations)
+    arrive(context)
+    assert len(context.world.delegations) == before
+    assert len(context.world.list_sent(context.exchange)) == 6
+
+
+@behave.when("a peer asks for 2 shards")
+def step_peer_asks(context):
+    ask_as_peer(context, ROUTE, ("shard-0", "shard-1"))
+
+
+@behave.when("a peer asks for 2 shards on a route that is not known here")
+def step_peer_asks_unknown(context):
+    ask_as_peer(context, "other", ("shard-0", "shard-1"))
+
+
+@behave.when("a peer asks for 2 shards of a set that is not known here")
+def step_peer_asks_other_set(context):
+    context.world.see(
+        *(build_replica(f"r-{shard}", shard) for shard in OTHER_SHARDS)
+    )
+    ask_as_peer(context, ROUTE, OTHER_SHARDS)
+
+
+def ask_as_peer(context, route, shards):
+    context.exchange += 1
+    terms = DelegationTerms(
+        shards=shards, objective_s=0.1, most_records=2, most_attempts=1
+    )
+    request = build_request(route, number=context.exchange, delegation=terms)
+    context.world.feed(
+        ExchangeOpened(exchange=context.exchange, request=request, age_s=0.0)
+    )
+
+
+@behave.then("just these are asked, each of one replica, for 2 records")
+def step_peer_terms(context):
+    world = context.world
+    world.advance(0.09)
+    sent = world.list_sent(context.exchange)
+    assert sorted(item.replica.service for item in sent) == [*OTHER_SHARDS]
+    reply_to(context)
+    answer = find_answer(context)
+    assert sorted(answer.digests) == [*OTHER_SHARDS]
+    assert len(answer.records) == 2 * RECORD_BYTES
+
+
+@behave.when("the node is asked to end")
+def step_end(context):
+    context.world.feed(ShutdownRequested())
+
+
+@behave.given("the node is ready")
+@behave.then("the node is ready")
+def step_node_ready(context):
+    assert read_last(context, ReportHealth).healthy
+    assert read_last(context, SetKeepAlive).allowed
+
+
+@behave.when("the peer can't be reached by a probe")
+def step_probe_fails(context):
+    context.world.now += 0.001
+    context.world.feed(PeerProbed(name="peer", answered=False))
+
+
+@behave.when("no replica there can be reached")
+def step_replica_probe_fails(context):
+    context.world.feed(ReplicaProbed(answered=False))
+
+
+@behave.when("a replica there accepts a connection")
+def step_replica_probe_answers(context):
+    context.world.now += 0.001
+    context.world.feed(ReplicaProbed(answered=True))
+
+
+@behave.when("40 requests arrive in 0.4 s and stay without an answer")
+def step_silent_peer(context):
+    for _ in range(40):
+        arrive(context)
+        context.world.advance(0.01)
+
+
+@behave.then("at most {count:d} probes of replicas were sent")
+def step_probes(context, count):
+    probes = [
+        command
+        for command in context.world.commands
+        if isinstance(command, ProbeReplica)
+    ]
+    assert 0 < len(probes) <= count, len(probes)
+
+
+@behave.when("the peer answers a probe")
+def step_probe_answers(context):
+    context.world.feed(PeerProbed(name="peer", answered=True))
+
+
+@behave.when('a replica in "{domain}" answers')
+def step_far_answers(context, domain):
+    world = context.world
+    for number in world.list_open():
+        replica = world.arrivals[number].command.replica
+        if replica.failure_domain == domain:
+            world.reply(number)
+
+
+@behave.then("the node is not ready and closes its connections")
+def step_node_not_ready(context):
+    assert not read_last(context, ReportHealth).healthy
+    assert not read_last(context, SetKeepAlive).allowed
+
+
+@behave.then("it may be tried elsewhere at once")
+def step_retry_at_once(context):
+    assert find_answer(context).retry_after_s <= 0.02
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -11,10 +11,10 @@
 from query_history_steps import hold_for_all
 
 from bluebellbay.protocol.exchange import AnswerKind
-from bluebellbay.protocol.exchange import ConfigurationFound
 from bluebellbay.protocol.exchange import ErrorAnswer
-from bluebellbay.protocol.exchange import ReplicaSeen
-from bluebellbay.protocol.exchange import ReplicaUnlisted
+from bluebellbay.protocol.registry import ConfigurationFound
+from bluebellbay.protocol.registry import ReplicaSeen
+from bluebellbay.protocol.registry import ReplicaUnlisted
 from bluebellbay.transport.connection import CallAnswered
 from bluebellbay.transport.store import StoreItem
 import bluebellbay_platform
--- a/features/steps/routing_history_steps.py
+++ b/features/steps/routing_history_steps.py
@@ -13,14 +13,14 @@
 from routing_world import RoutingWorld
 
 from bluebellbay.protocol.event import ShutdownRequested
-from bluebellbay.protocol.exchange import ConfigurationFound
 from bluebellbay.protocol.exchange import ErrorAnswer
 from bluebellbay.protocol.exchange import ExchangeAbandoned
 from bluebellbay.protocol.exchange import MergedAnswer
 from bluebellbay.protocol.exchange import RefusalKind
-from bluebellbay.protocol.exchange import ReplicaUnlisted
-from bluebellbay.protocol.exchange import StoreLost
-from bluebellbay.protocol.exchange import StoreRegained
+from bluebellbay.protocol.registry import ConfigurationFound
+from bluebellbay.protocol.registry import ReplicaUnlisted
+from bluebellbay.protocol.registry import StoreLost
+from bluebellbay.protocol.registry import StoreRegained
 
 SEEDS = strategies.integers(min_value=0, max_value=2**32)
 STEPS = 120
--- a/features/steps/routing_world.py
+++ b/features/steps/routing_world.py
@@ -4,22 +4,22 @@
 import random
 
 from bluebellbay.coordination.routing.core import RoutingCore
+from bluebellbay.protocol.delegation import DelegateQuery
 from bluebellbay.protocol.event import TimePassed
 from bluebellbay.protocol.exchange import AttemptFailed
 from bluebellbay.protocol.exchange import AttemptRefused
 from bluebellbay.protocol.exchange import AttemptReplied
 from bluebellbay.protocol.exchange import CancelAttempt
-from bluebellbay.protocol.exchange import ConfigurationFound
-from bluebellbay.protocol.exchange import DelegateQuery
 from bluebellbay.protocol.exchange import ErrorAnswer
 from bluebellbay.protocol.exchange import ExchangeOpened
 from bluebellbay.protocol.exchange import ForwardAnswer
 from bluebellbay.protocol.exchange import MergedAnswer
 from bluebellbay.protocol.exchange import RefusalKind
 from bluebellbay.protocol.exchange import ReplicaReply
-from bluebellbay.protocol.exchange import ReplicaSeen
 from bluebellbay.protocol.exchange import RoutedRequest
 from bluebellbay.protocol.exchange import SendAttempt
+from bluebellbay.protocol.registry import ConfigurationFound
+from bluebellbay.protocol.registry import ReplicaSeen
 from bluebellbay.protocol.replica import ReplicaEntry
 from bluebellbay.protocol.route import CallerLimits
 from bluebellbay.protocol.route import Repeatability
--- a/packages/bluebellbay/bluebellbay/coordination/routing/configuration.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/configuration.py
@@ -5,8 +5,8 @@
 )
 from bluebellbay.coordination.routing.part import Actions
 from bluebellbay.coordination.routing.part import RoutingPart
-from bluebellbay.protocol.exchange import ConfigurationFound
-from bluebellbay.protocol.exchange import SetCallerLimits
+from bluebellbay.protocol.registry import ConfigurationFound
+from bluebellbay.protocol.registry import SetCallerLimits
 
 
 class ConfigurationPart(RoutingPart):
--- a/packages/bluebellbay/bluebellbay/coordination/routing/connection_limit.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/connection_limit.py
@@ -2,7 +2,7 @@
 
 from bluebellbay.coordination.routing.context import RoutingContext
 from bluebellbay.coordination.routing.ownership import CONNECTED_RANKS
-from bluebellbay.protocol.exchange import SetConnectionLimit
+from bluebellbay.protocol.registry import SetConnectionLimit
 from bluebellbay.state.replica import ReplicaRecord
 from bluebellbay.state.router import RouterState
 
--- a/packages/bluebellbay/bluebellbay/coordination/routing/delegations.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/delegations.py
@@ -4,9 +4,9 @@
 
 from bluebellbay.coordination.routing.delegation import Assignment
 from bluebellbay.coordination.routing.delegation import Delegation
-from bluebellbay.protocol.exchange import CancelDelegation
-from bluebellbay.protocol.exchange import DelegateQuery
-from bluebellbay.protocol.exchange import WithdrawDelegation
+from bluebellbay.protocol.delegation import CancelDelegation
+from bluebellbay.protocol.delegation import DelegateQuery
+from bluebellbay.protocol.delegation import WithdrawDelegation
 
 if TYPE_CHECKING:
     from bluebellbay.coordination.routing.context import RoutingContext
--- a/packages/bluebellbay/bluebellbay/coordination/routing/exchange.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/exchange.py
@@ -11,18 +11,18 @@
 from bluebellbay.coordination.routing.run import Run
 from bluebellbay.coordination.routing.scatter import ScatterRun
 from bluebellbay.coordination.routing.split import ServiceDrawer
+from bluebellbay.protocol.delegation import DelegationAnswered
 from bluebellbay.protocol.event import TimePassed
 from bluebellbay.protocol.exchange import AnswerKind
 from bluebellbay.protocol.exchange import AttemptFailed
 from bluebellbay.protocol.exchange import AttemptRefused
 from bluebellbay.protocol.exchange import AttemptReplied
-from bluebellbay.protocol.exchange import DelegationAnswered
 from bluebellbay.protocol.exchange import DelegationTerms
 from bluebellbay.protocol.exchange import ErrorAnswer
 from bluebellbay.protocol.exchange import ExchangeAbandoned
 from bluebellbay.protocol.exchange import ExchangeOpened
-from bluebellbay.protocol.exchange import ForgetReplica
 from bluebellbay.protocol.exchange import RefusalKind
+from bluebellbay.protocol.registry import ForgetReplica
 from bluebellbay.protocol.route import Route
 from bluebellbay.protocol.route import ScatterRule
 
--- a/packages/bluebellbay/bluebellbay/coordination/routing/isolation.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/isolation.py
@@ -3,11 +3,11 @@
 from bluebellbay.coordination.routing.context import RoutingContext
 from bluebellbay.coordination.routing.part import Actions
 from bluebellbay.coordination.routing.part import RoutingPart
+from bluebellbay.protocol.delegation import PeerProbed
+from bluebellbay.protocol.delegation import ProbePeer
+from bluebellbay.protocol.delegation import ProbeReplica
+from bluebellbay.protocol.delegation import ReplicaProbed
 from bluebellbay.protocol.event import TimePassed
-from bluebellbay.protocol.exchange import PeerProbed
-from bluebellbay.protocol.exchange import ProbePeer
-from bluebellbay.protocol.exchange import ProbeReplica
-from bluebellbay.protocol.exchange import ReplicaProbed
 from bluebellbay.state.peer import PeerRecord
 
 PROBE_TIMEOUT_S = 0.3
--- a/packages/bluebellbay/bluebellbay/coordination/routing/lifecycle.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/lifecycle.py
@@ -7,15 +7,15 @@
 from bluebellbay.coordination.routing.part import RoutingPart
 from bluebellbay.protocol.command import ReportHealth
 from bluebellbay.protocol.command import StopProcess
+from bluebellbay.protocol.delegation import PeerProbed
+from bluebellbay.protocol.delegation import ReplicaProbed
 from bluebellbay.protocol.event import ShutdownRequested
 from bluebellbay.protocol.event import TimePassed
-from bluebellbay.protocol.exchange import ConfigurationFound
-from bluebellbay.protocol.exchange import PeerProbed
-from bluebellbay.protocol.exchange import ReplicaProbed
-from bluebellbay.protocol.exchange import ReplicaSeen
-from bluebellbay.protocol.exchange import ReplicasListed
-from bluebellbay.protocol.exchange import ReplicaUnlisted
-from bluebellbay.protocol.exchange import SetKeepAlive
+from bluebellbay.protocol.registry import ConfigurationFound
+from bluebellbay.protocol.registry import ReplicaSeen
+from bluebellbay.protocol.registry import ReplicasListed
+from bluebellbay.protocol.registry import ReplicaUnlisted
+from bluebellbay.protocol.registry import SetKeepAlive
 
 # The balancer takes a node out after two health checks, a second apart.
 BALANCER_LAG_S = 3.0
--- a/packages/bluebellbay/bluebellbay/coordination/routing/nodes.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/nodes.py
@@ -5,10 +5,10 @@
 )
 from bluebellbay.coordination.routing.part import Actions
 from bluebellbay.coordination.routing.part import RoutingPart
-from bluebellbay.protocol.exchange import NodeSeen
-from bluebellbay.protocol.exchange import NodesListed
-from bluebellbay.protocol.exchange import NodeUnlisted
 from bluebellbay.protocol.node import NodeEntry
+from bluebellbay.protocol.registry import NodeSeen
+from bluebellbay.protocol.registry import NodesListed
+from bluebellbay.protocol.registry import NodeUnlisted
 from bluebellbay.state.peer import PeerRecord
 
 # A node whose lease has ended may still be cut off and at work.
--- a/packages/bluebellbay/bluebellbay/coordination/routing/replicas.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/replicas.py
@@ -9,12 +9,12 @@
 from bluebellbay.coordination.routing.part import Actions
 from bluebellbay.coordination.routing.part import RoutingPart
 from bluebellbay.protocol.event import TimePassed
-from bluebellbay.protocol.exchange import ForgetReplica
-from bluebellbay.protocol.exchange import ReplicaSeen
-from bluebellbay.protocol.exchange import ReplicasListed
-from bluebellbay.protocol.exchange import ReplicaUnlisted
-from bluebellbay.protocol.exchange import StoreLost
-from bluebellbay.protocol.exchange import StoreRegained
+from bluebellbay.protocol.registry import ForgetReplica
+from bluebellbay.protocol.registry import ReplicaSeen
+from bluebellbay.protocol.registry import ReplicasListed
+from bluebellbay.protocol.registry import ReplicaUnlisted
+from bluebellbay.protocol.registry import StoreLost
+from bluebellbay.protocol.registry import StoreRegained
 from bluebellbay.protocol.replica import ReplicaEntry
 from bluebellbay.state.replica import ReplicaRecord
 
--- a/packages/bluebellbay/bluebellbay/coordination/routing/rules.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/rules.py
@@ -4,7 +4,7 @@
 
 from bluebellbay.coordination.routing.part import Actions
 from bluebellbay.coordination.routing.part import RoutingPart
-from bluebellbay.protocol.exchange import RulesFound
+from bluebellbay.protocol.registry import RulesFound
 
 
 class RulesPart(RoutingPart):
--- a/packages/bluebellbay/bluebellbay/protocol/command.py
+++ b/packages/bluebellbay/bluebellbay/protocol/command.py
@@ -4,9 +4,9 @@
 from typing import Any
 
 from bluebellbay.protocol.answer import Answer
-from bluebellbay.protocol.exchange import RoutingCommand
 from bluebellbay.protocol.leg import LegRequest
 from bluebellbay.protocol.peer import PeerMessage
+from bluebellbay.protocol.routing import RoutingCommand
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/bluebellbay/bluebellbay/protocol/event.py
+++ b/packages/bluebellbay/bluebellbay/protocol/event.py
@@ -3,12 +3,12 @@
 import dataclasses
 
 from bluebellbay.protocol.answer import Answer
-from bluebellbay.protocol.exchange import RoutingEvent
 from bluebellbay.protocol.leg import LegRefusal
 from bluebellbay.protocol.leg import LegReply
 from bluebellbay.protocol.leg import ServerReport
 from bluebellbay.protocol.peer import PeerEnvelope
 from bluebellbay.protocol.request import QueryRequest
+from bluebellbay.protocol.routing import RoutingEvent
 from bluebellbay.protocol.vm import VmList
 
 
--- a/packages/bluebellbay/bluebellbay/transport/delegation.py
+++ b/packages/bluebellbay/bluebellbay/transport/delegation.py
@@ -9,22 +9,22 @@
 
 import msgspec
 
+from bluebellbay.protocol.delegation import CancelDelegation
+from bluebellbay.protocol.delegation import DelegateQuery
+from bluebellbay.protocol.delegation import DelegationAnswered
+from bluebellbay.protocol.delegation import PeerProbed
+from bluebellbay.protocol.delegation import ProbePeer
+from bluebellbay.protocol.delegation import WithdrawDelegation
 from bluebellbay.protocol.exchange import AnswerKind
 from bluebellbay.protocol.exchange import AttemptFailed
-from bluebellbay.protocol.exchange import CancelDelegation
-from bluebellbay.protocol.exchange import DelegateQuery
-from bluebellbay.protocol.exchange import DelegationAnswered
 from bluebellbay.protocol.exchange import DelegationTerms
 from bluebellbay.protocol.exchange import ErrorAnswer
 from bluebellbay.protocol.exchange import ExchangeAnswer
 from bluebellbay.protocol.exchange import ForwardAnswer
 from bluebellbay.protocol.exchange import MergedAnswer
-from bluebellbay.protocol.exchange import PeerProbed
-from bluebellbay.protocol.exchange import ProbePeer
 from bluebellbay.protocol.exchange import RoutedRequest
-from bluebellbay.protocol.exchange import RoutingEvent
-from bluebellbay.protocol.exchange import WithdrawDelegation
 from bluebellbay.protocol.node import NodeEntry
+from bluebellbay.protocol.routing import RoutingEvent
 from bluebellbay.transport.connection import CallAnswered
 from bluebellbay.transport.connection import CallEnd
 from bluebellbay.transport.interface import Report
--- a/packages/bluebellbay/bluebellbay/transport/follower.py
+++ b/packages/bluebellbay/bluebellbay/transport/follower.py
@@ -8,9 +8,9 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
-from bluebellbay.protocol.exchange import StoreLost
-from bluebellbay.protocol.exchange import StoreRegained
 from bluebellbay.protocol.node import NodeEntry
+from bluebellbay.protocol.registry import StoreLost
+from bluebellbay.protocol.registry import StoreRegained
 from bluebellbay.transport.interface import Report
 from bluebellbay.transport.store import HistoryGone
 from bluebellbay.transport.store import LeaseGone
--- a/packages/bluebellbay/bluebellbay/transport/replica.py
+++ b/packages/bluebellbay/bluebellbay/transport/replica.py
@@ -6,16 +6,16 @@
 from twisted.internet.protocol import Factory
 from twisted.internet.protocol import Protocol
 
+from bluebellbay.protocol.delegation import ProbeReplica
+from bluebellbay.protocol.delegation import ReplicaProbed
 from bluebellbay.protocol.exchange import AttemptFailed
 from bluebellbay.protocol.exchange import AttemptRefused
 from bluebellbay.protocol.exchange import AttemptReplied
 from bluebellbay.protocol.exchange import CancelAttempt
-from bluebellbay.protocol.exchange import ForgetReplica
-from bluebellbay.protocol.exchange import ProbeReplica
 from bluebellbay.protocol.exchange import RefusalKind
-from bluebellbay.protocol.exchange import ReplicaProbed
 from bluebellbay.protocol.exchange import SendAttempt
-from bluebellbay.protocol.exchange import SetConnectionLimit
+from bluebellbay.protocol.registry import ForgetReplica
+from bluebellbay.protocol.registry import SetConnectionLimit
 from bluebellbay.protocol.replica import ReplicaEntry
 from bluebellbay.transport._address import build_endpoint
 from bluebellbay.transport.connection import AnswerForm
--- a/packages/bluebellbay/bluebellbay/transport/store.py
+++ b/packages/bluebellbay/bluebellbay/transport/store.py
@@ -3,8 +3,8 @@
 import abc
 import dataclasses
 
-from bluebellbay.protocol.exchange import RoutingEvent
 from bluebellbay.protocol.node import NodeEntry
+from bluebellbay.protocol.routing import RoutingEvent
 
 
 class StoreUnavailable(Exception):
