--- a/tools/capacity_page.py
+++ b/tools/capacity_page.py
@@ -15,6 +15,8 @@
 QUERIES_S = 72_000
 LEGS_A_QUERY = 840
 DOMAINS = 7
+# The owner of a shard, and the one in whose place it may stand.
+CONNECTED_NODES = 2
 CONNECTION_LIMIT = 25
 CHANGES_A_DAY = 430
 RESTARTS_A_DAY = 640
@@ -264,6 +266,29 @@
             unit="connections",
             working=f"a replica accepts {CONNECTION_LIMIT}",
         ),
+        Need(
+            name="the same with owners of shards, on the platform",
+            need=CONNECTED_NODES * DOMAINS,
+            limit=CONNECTION_LIMIT,
+            unit="connections",
+            working=f"{CONNECTED_NODES} nodes a domain connect to a shard's "
+            "replicas",
+        ),
+        Need(
+            name="queries left to owners: the core of the node asked",
+            need=QUERIES_S / NODES * of["divided_query_ms"] / 1e3,
+            limit=1.0,
+            unit="cores",
+            working=f"{QUERIES_S / NODES:.0f} queries a second, "
+            "one call an owner",
+        ),
+        Need(
+            name="the same: the core of the owners",
+            need=node_legs_s * of["routed_leg_us"] / 1e6,
+            limit=1.0,
+            unit="cores",
+            working=f"{node_legs_s:,.0f} legs a second, without sockets",
+        ),
         Need(
             name="replicas a node may own, a connection each",
             need=REPLICAS * CONNECTION_LIMIT / NODES,
