Probe a failed peer on, however many others are in doubt

Found by reading: each doubt about a near peer put off the next round of probes by half a second, so under steady doubt a peer that had failed was not probed again and its shards stayed with the next node by rank. Besides, ranks of ended sets are dropped with a new configuration.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -43,6 +43,13 @@
     When a query arrives and stays without an answer past its objective
     Then its peers were probed
 
+  Scenario: A failed peer is probed on, however many others are in doubt
+    Given a fleet of 12 nodes in 3 failure domains and 48 shards
+    When a query arrives, and its first peer breaks off
+    And that peer does not answer its probe
+    And for 1.2 s a query arrives each 0.05 s and stays without an answer
+    Then that peer was probed 3 times
+
   Scenario Outline: Connections of all nodes together keep to the limit
     Given a fleet of <nodes> nodes in 3 failure domains and 48 shards
     When each replica accepts <accepted> connections
--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -66,6 +66,7 @@
     ]
     context.world = build_world(context, context.near[0])
     context.exchange = 0
+    context.probes = 1
 
 
 @behave.when("a query arrives at each node of a domain")
@@ -226,6 +227,36 @@
     assert peers and peers <= list_probed(context)
 
 
+@behave.when("that peer does not answer its probe")
+def step_no_probe_answer(context):
+    context.world.advance(0.001)
+    context.world.feed(PeerProbed(name=context.peer, answered=False))
+
+
+@behave.when(
+    "for 1.2 s a query arrives each 0.05 s and stays without an answer"
+)
+def step_steady_doubt(context):
+    for _ in range(24):
+        arrive(context)
+        context.world.advance(0.05)
+        if count_probes(context) > context.probes:
+            context.probes = count_probes(context)
+            step_no_probe_answer(context)
+
+
+def count_probes(context):
+    return sum(
+        isinstance(command, ProbePeer) and command.peer.name == context.peer
+        for command in context.world.commands
+    )
+
+
+@behave.then("that peer was probed {count:d} times")
+def step_probe_count(context, count):
+    assert count_probes(context) == count, count_probes(context)
+
+
 @behave.when("each replica accepts {accepted:d} connections")
 def step_accepted(context, accepted):
     context.accepted = accepted
--- a/packages/bluebellbay/bluebellbay/coordination/routing/configuration.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/configuration.py
@@ -37,4 +37,5 @@
             routes=len(configuration.routes),
         )
         self.context.emit(SetCallerLimits(limits=configuration.limits))
+        self.context.owners.forget_sets()
         set_connection_limits(self.context)
--- a/packages/bluebellbay/bluebellbay/coordination/routing/connection_limit.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/connection_limit.py
@@ -30,7 +30,8 @@
     state = context.state
     accepted = state.routes.count_connections(entry.service)
     share = max(1, accepted // max(1, state.nodes))
-    if _is_owner(context, entry.service):
+    shards = state.routes.find_shards(entry.service)
+    if context.owners.is_connected(entry.service, shards):
         left = max(0, accepted - share * state.nodes)
         share += left // (CONNECTED_RANKS * _count_domains(state))
     most = max(MOST_CONNECTIONS, 2 * entry.slots)
@@ -41,11 +42,6 @@
     context.emit(SetConnectionLimit(replica=entry, limit=limit))
 
 
-def _is_owner(context: RoutingContext, service: str) -> bool:
-    shards = context.state.routes.find_shards(service)
-    return bool(context.owners.needs_connections(service, shards))
-
-
 def _count_domains(state: RouterState) -> int:
     domains = {peer.entry.failure_domain for peer in state.peers.values()}
     return len(domains | {state.failure_domain})
--- a/packages/bluebellbay/bluebellbay/coordination/routing/isolation.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/isolation.py
@@ -62,6 +62,7 @@
             self._probe(self._list_far(), now)
             self._probe_replicas(FIRST_REPLICAS)
         elif self._next_at is not None and now >= self._next_at:
+            self._next_at = None
             self._probe(self._list_avoided(), now)
             if self.state.isolated:
                 self._probe_replicas(1)
@@ -113,7 +114,8 @@
             self.context.emit(
                 ProbePeer(peer=peer.entry, timeout_s=PROBE_TIMEOUT_S)
             )
-        self._next_at = now + PROBE_GAP_S if peers else None
+        if peers and self._next_at is None:
+            self._next_at = now + PROBE_GAP_S
 
     def _take_suspects(self) -> list[PeerRecord]:
         names, self.context.suspects = self.context.suspects, set()
--- a/packages/bluebellbay/bluebellbay/coordination/routing/ownership.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/ownership.py
@@ -74,19 +74,19 @@
             for owner, names in held.items()
         )
 
-    def needs_connections(
-        self, service: str, shards: tuple[str, ...]
-    ) -> bool | None:
+    def is_connected(self, service: str, shards: tuple[str, ...]) -> bool:
         """Say whether this node is one of the few that query a shard.
 
         :param service: Service that holds the shard.
         :param shards: The whole set that it belongs to.
-        :returns: Whether it is; none if the set is not divided.
+        :returns: Whether it is; false if the set is not divided.
         """
         orders = self._find_orders(shards)
-        if not orders:
-            return None
-        return self._node in orders[service][:CONNECTED_RANKS]
+        return self._node in orders.get(service, ())[:CONNECTED_RANKS]
+
+    def forget_sets(self) -> None:
+        """Drop the ranks of all sets, as a configuration may end some."""
+        self._orders.clear()
 
     def _find_owner(self, order: tuple[str, ...], now: float) -> str:
         for name in order:
