--- a/packages/standins/bluebellbay_standins/demo.py
+++ b/packages/standins/bluebellbay_standins/demo.py
@@ -15,13 +15,19 @@
 from bluebellbay_standins.client import call
 from bluebellbay_standins.cluster import Cluster
 from bluebellbay_standins.cluster import ClusterShape
+from bluebellbay_standins.demo_check import check_samples
+from bluebellbay_standins.demo_check import describe_samples
+from bluebellbay_standins.demo_check import find_cut_off
+from bluebellbay_standins.demo_check import list_faults
+from bluebellbay_standins.demo_check import require
+from bluebellbay_standins.demo_check import StepFailed
+from bluebellbay_standins.demo_profile import DemoProfile
+from bluebellbay_standins.demo_profile import find_profile
+from bluebellbay_standins.demo_profile import PROFILES
 from bluebellbay_standins.fleet import CO_OP
-from bluebellbay_standins.fleet import FIRST_SNAPSHOT
 from bluebellbay_standins.fleet import FleetShape
 from bluebellbay_standins.fleet import HSINCHU
-from bluebellbay_standins.load import pick_quantile
 from bluebellbay_standins.load import Query
-from bluebellbay_standins.load import Sample
 from bluebellbay_standins.load import send_queries
 from bluebellbay_standins.load import SteadyLoad
 from bluebellbay_standins.operator_command import CommandResult
@@ -29,7 +35,6 @@
 from bluebellbay_standins.process import wait_until
 from bluebellbay_standins.row import ROW_STRIDE
 
-MS_PER_S = 1000
 IN_FORCE_S = 10.0
 NO_NEW_WORK_S = 5.0
 QUIET_S = 2.0
@@ -42,84 +47,6 @@
 SLOW_FACTOR = 10.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class DemoProfile:
-    """A profile of the demo and the indexes that it is used for.
-
-    :param name: Name of the profile.
-    :param coverage_floor: Least coverage of an answer.
-    :param delay_ms: Longest time in ms to an answer.
-    :param extra_load: Hedges and retries allowed, as a fraction.
-    :param rank: 0 is served first.
-    :param indexes: Names of the indexes.
-    """
-
-    name: str
-    coverage_floor: float
-    delay_ms: int
-    extra_load: float
-    rank: int
-    indexes: tuple[str, ...] = ()
-
-
-PROFILES = (
-    DemoProfile(
-        name="batch-lookup",
-        coverage_floor=1.0,
-        delay_ms=1000,
-        extra_load=0.05,
-        rank=0,
-        indexes=("press-desk", "quote-office"),
-    ),
-    DemoProfile(
-        name="stock-check",
-        coverage_floor=0.9,
-        delay_ms=1000,
-        extra_load=0.02,
-        rank=1,
-        indexes=("magazyn", "member-portal"),
-    ),
-    DemoProfile(
-        name="closing-minute",
-        coverage_floor=0.9,
-        delay_ms=500,
-        extra_load=0.05,
-        rank=0,
-        indexes=("bidfront", "yarddesk"),
-    ),
-    DemoProfile(
-        name="watch-upkeep",
-        coverage_floor=1.0,
-        delay_ms=1000,
-        extra_load=0.02,
-        rank=2,
-        indexes=("watchbell",),
-    ),
-    DemoProfile(
-        name="settlement",
-        coverage_floor=1.0,
-        delay_ms=3000,
-        extra_load=0.0,
-        rank=1,
-    ),
-)
-
-
-class StepFailed(Exception):
-    """A step of the demo did not come out right."""
-
-
-def require(condition: bool, message: str) -> None:
-    """Fail the step unless something is so.
-
-    :param condition: Whether it is.
-    :param message: What is wrong otherwise.
-    :raises StepFailed: If it is not.
-    """
-    if not condition:
-        raise StepFailed(message)
-
-
 class Demo:
     """The steps of the demo, over one cluster.
 
@@ -407,15 +334,6 @@
         return [reply.body for reply in replies]
 
 
-def find_profile(name: str) -> DemoProfile:
-    """Look a profile of the demo up.
-
-    :param name: Its name.
-    :returns: The profile.
-    """
-    return next(item for item in PROFILES if item.name == name)
-
-
 def summarise(output: str) -> str:
     """Take the last line of a command's output.
 
@@ -426,72 +344,6 @@
     return lines[-1] if lines else "done"
 
 
-def list_faults(samples: tuple[Sample, ...]) -> list[str]:
-    """List what is wrong with answers.
-
-    :param samples: The answers.
-    :returns: One phrase for each fault.
-    """
-    return [
-        f"{sample.query.index} at {sample.query.entry}: {fault}"
-        for sample in samples
-        for fault in sample.find_faults((FIRST_SNAPSHOT,))
-    ]
-
-
-def find_cut_off(samples: tuple[Sample, ...]) -> list[Sample]:
-    """Find broken exchanges that began before the last answered one.
-
-    A connection refused after the process ended is not cut off.
-
-    :param samples: The exchanges.
-    :returns: Those cut off.
-    """
-    last = max(
-        (item.began_at for item in samples if item.reply is not None),
-        default=0.0,
-    )
-    return [
-        item
-        for item in samples
-        if item.reply is None and item.began_at <= last
-    ]
-
-
-def check_samples(samples: tuple[Sample, ...]) -> None:
-    """Require that every answer is right and served.
-
-    :param samples: The answers.
-    :raises StepFailed: If one is not.
-    """
-    faults = list_faults(samples)
-    require(not faults, "; ".join(faults[:5]))
-    outcomes = collections.Counter(item.outcome for item in samples)
-    unserved = len(samples) - outcomes["answered"] - outcomes["partial"]
-    require(unserved == 0, f"{unserved} queries not served: {dict(outcomes)}")
-
-
-def describe_samples(samples: tuple[Sample, ...]) -> str:
-    """Sum up answers in one phrase.
-
-    :param samples: The answers, all served.
-    :returns: The phrase.
-    """
-    fractions = [
-        sample.reply.body["coverage"]["fraction"]
-        for sample in samples
-        if sample.reply is not None
-    ]
-    latencies = [sample.latency_s * MS_PER_S for sample in samples]
-    complete = sum(fraction == 1.0 for fraction in fractions)
-    return (
-        f"{len(samples)} answers, {complete} complete, coverage at least"
-        f" {min(fractions):.3f}, 50th in 100"
-        f" {pick_quantile(latencies, 0.5):.0f} ms, 99th"
-        f" {pick_quantile(latencies, 0.99):.0f} ms"
-    )
-
-
 def describe_cluster(fleets: tuple[FleetShape, ...]) -> ClusterShape:
     """Describe the cluster of the demo.
 
