Take a batch of many bytes for a part of a backlog, too

Found by reading the trace of the backlog: a storm of configurations of some 40 KB each is cut by bytes (about 1 MB) long before it has 50 changes, and each part would have been followed by a pause of 2 s on the grown sites. After: 256 KB of changes are followed by the next call at once; the new scenario failed before.

--- a/features/follower.feature
+++ b/features/follower.feature
@@ -40,6 +40,11 @@
     When 500 changes come at once, as after an outage
     Then the rest is read without a pause
 
+  Scenario: A storm of large configurations is read without pauses, too
+    Given a follower of a store at revision 5
+    When 20 changes of 40 KB each come at once
+    Then the rest is read without a pause
+
   Scenario Outline: Fewer calls never delay a change beyond its bound
     Then with <apply> s to apply and <contact> s of contact, a node of <nodes> hears of a change in time though a connection is silent
 
--- a/features/steps/follower_steps.py
+++ b/features/steps/follower_steps.py
@@ -22,6 +22,7 @@
 
 AMPLE_S = 60.0
 CALL_TIMEOUT_S = 1.5
+CHANGE = (StoreItem(key="key", value=b"value"),)
 
 
 class FakeStore(StoreClient):
@@ -197,18 +198,30 @@
     pace = StorePace(apply_s=apply_s, contact_s=contact_s)
     # A wait that was silent, its time limit, and the next call.
     heard_s = (
-        pace.find_wait(nodes) + CALL_TIMEOUT_S + pace.find_gather(nodes, 1)
+        pace.find_wait(nodes)
+        + CALL_TIMEOUT_S
+        + pace.find_gather(nodes, CHANGE)
+    )
+    assert pace.find_gather(nodes, CHANGE) + CALL_TIMEOUT_S < apply_s, pace
+    assert heard_s <= contact_s + apply_s + pace.find_gather(nodes, CHANGE), (
+        heard_s
     )
-    assert pace.find_gather(nodes, 1) + CALL_TIMEOUT_S < apply_s, pace
-    assert heard_s <= contact_s + apply_s + pace.find_gather(nodes, 1), heard_s
 
 
 @behave.when("{count:d} changes come at once, as after an outage")
 def step_backlog(context, count):
+    bring_backlog(context, count, b"value")
+
+
+@behave.when("{count:d} changes of {size:d} KB each come at once")
+def step_large_backlog(context, count, size):
+    bring_backlog(context, count, bytes(size * 1024))
+
+
+def bring_backlog(context, count, value):
     context.nodes = 36
     items = tuple(
-        StoreItem(key=f"key-{number}", value=b"value")
-        for number in range(count)
+        StoreItem(key=f"key-{number}", value=value) for number in range(count)
     )
     context.calls = len(context.store.watched)
     context.store.waiting.callback(StoreItems(items=items, revision=505))
@@ -226,4 +239,6 @@
 )
 def step_calls(context, many, few):
     pace = StorePace(apply_s=5.0, contact_s=5.0)
-    assert 3 * pace.find_gather(few, 1) <= pace.find_gather(many, 1), pace
+    assert 3 * pace.find_gather(few, CHANGE) <= pace.find_gather(
+        many, CHANGE
+    ), pace
--- a/packages/bluebellbay/bluebellbay/transport/follower.py
+++ b/packages/bluebellbay/bluebellbay/transport/follower.py
@@ -133,7 +133,7 @@
         for item in changes.items:
             for event in self._schema.read_change(item):
                 self._report(event)
-        gather_s = self.pace.find_gather(nodes, len(changes.items))
+        gather_s = self.pace.find_gather(nodes, changes.items)
         if gather_s > 0:
             await deferLater(self._reactor, gather_s)
         return max(revision, changes.revision)
--- a/packages/bluebellbay/bluebellbay/transport/store_pace.py
+++ b/packages/bluebellbay/bluebellbay/transport/store_pace.py
@@ -7,13 +7,16 @@
 
 import dataclasses
 
+from bluebellbay.transport.store import StoreItem
+
 SHORTEST_WAIT_S = 2.5
 WAIT_S_A_NODE = 0.15
 GATHER_S_A_NODE = 0.1
 # Of the time in which a change must be in force, what gathering may take.
 GATHER_PART = 0.4
-# A batch so long may be but a part of what has changed.
+# A batch with so many changes, or bytes, may be but a part of what has changed.
 LONG_BATCH = 50
+LONG_BATCH_BYTES = 262_144
 # To notice that a wait was in vain, and to wait anew.
 NOTICE_S = 2.5
 
@@ -43,13 +46,15 @@
         wanted_s = SHORTEST_WAIT_S + WAIT_S_A_NODE * nodes
         return max(SHORTEST_WAIT_S, min(longest_s, wanted_s))
 
-    def find_gather(self, nodes: int, batch: int) -> float:
+    def find_gather(self, nodes: int, batch: tuple[StoreItem, ...]) -> float:
         """Say how long changes are gathered after some before the next call.
 
         :param nodes: Nodes that call the store.
         :param batch: Changes that the last call brought.
         :returns: Seconds.
         """
-        if batch == 0 or batch >= LONG_BATCH:
+        if not batch or len(batch) >= LONG_BATCH:
+            return 0.0
+        if sum(len(item.value or b"") for item in batch) >= LONG_BATCH_BYTES:
             return 0.0
         return min(GATHER_PART * self.apply_s, GATHER_S_A_NODE * nodes)
