Bound the time until a caller's head is read at the daemon

A connection that sends bytes which are no request and no line end was kept as long as bytes came: the site's timeout is of idleness, and each byte set it anew. Now the head has limits.head_s (10 s) from its first byte; past it the answer is 408, which has not run, and the connection is closed. A request that runs for longer is not bounded by it.

--- a/features/daemon.feature
+++ b/features/daemon.feature
@@ -14,6 +14,15 @@
     Then the caller gets status 413 and error "body-too-large" as not run
     And the core has been told of no request
 
+  Scenario: A head that is not finished in time ends its connection
+    Given a daemon whose core holds requests back, with 0.3 s for a head
+    When a caller sends bytes that are no line, again and again
+    Then it is answered 408 and its connection is closed
+    When callers "a" send a request each
+    And 0.5 s pass at the daemon
+    And the core answers callers "a" with 1 rows each
+    Then callers "a" have each read their own whole answer
+
   Scenario: Each caller gets its own whole answer
     Given a daemon whose core holds requests back
     When callers "a b c" send a request each
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -1,9 +1,11 @@
 """Steps about the daemon."""
 
+import contextlib
 import http.client
 import json
 import pathlib
 import random
+import socket
 import subprocess
 import sys
 import tempfile
@@ -59,9 +61,9 @@
 
 
 @behave.given("a daemon whose core holds requests back")
-def start_daemon(context):
+def start_daemon(context, **changes):
     context.daemon = Daemon(
-        settings=parse_settings(make_settings()).ok,
+        settings=parse_settings(make_settings(**changes)).ok,
         reactor=reactor,
         rng=random.Random(1),
         parts=(HoldingPart,),
@@ -72,6 +74,44 @@
     context.add_cleanup(lambda: do_at_core(context, StopProcess()))
 
 
+@behave.given(
+    "a daemon whose core holds requests back, with {head_s:g} s for a head"
+)
+def start_impatient_daemon(context, head_s):
+    start_daemon(context, limits={"head_s": head_s})
+
+
+@behave.when("a caller sends bytes that are no line, again and again")
+def send_no_line(context):
+    with socket.create_connection(
+        ("127.0.0.1", context.daemon.port), AMPLE_S
+    ) as connection:
+        connection.settimeout(0.05)
+        context.received = b""
+        until = time.monotonic() + AMPLE_S
+        context.closed = False
+        while not context.closed and time.monotonic() < until:
+            with contextlib.suppress(OSError):
+                connection.sendall(b"x")
+            try:
+                piece = connection.recv(1000)
+            except TimeoutError:
+                continue
+            context.received += piece
+            context.closed = not piece
+
+
+@behave.then("it is answered 408 and its connection is closed")
+def check_timed_out(context):
+    assert context.closed
+    assert context.received.startswith(b"HTTP/1.1 408 "), context.received
+
+
+@behave.when("{seconds:g} s pass at the daemon")
+def pass_seconds(context, seconds):
+    time.sleep(seconds)
+
+
 def do_at_core(context, *commands):
     def do():
         context.part.due.extend(commands)
--- a/features/steps/query_error_steps.py
+++ b/features/steps/query_error_steps.py
@@ -57,6 +57,7 @@
         reactor=reactor,
         listen="127.0.0.1:80",
         body_limit=BODY_LIMIT,
+        head_s=10.0,
         report=world.step,
         observe=lambda answer, seconds: None,
         read_status=lambda: None,
--- a/packages/bluebellbay/bluebellbay/settings.py
+++ b/packages/bluebellbay/bluebellbay/settings.py
@@ -124,6 +124,15 @@
         int,
         Field(ge=64, le=16777216, description="Largest request body."),
     ] = 65536
+    head_s: Annotated[
+        float,
+        Field(
+            ge=0.1,
+            le=600,
+            description="Longest time in seconds until a request's head is "
+            "read.",
+        ),
+    ] = 10.0
     queries: Annotated[
         int,
         Field(ge=1, le=100000, description="Requests in flight at once."),
--- a/packages/bluebellbay/bluebellbay/transport/caller.py
+++ b/packages/bluebellbay/bluebellbay/transport/caller.py
@@ -4,12 +4,14 @@
 import dataclasses
 from typing import Annotated
 from typing import Any
+from typing import cast
 
 from klein import Klein
 import msgspec
 from prometheus_client import CollectorRegistry
 from prometheus_client import CONTENT_TYPE_LATEST
 from prometheus_client import generate_latest
+from twisted.internet.base import DelayedCall
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import maybeDeferred
 from twisted.internet.defer import succeed
@@ -40,6 +42,10 @@
 # A body over its limit is read to its end up to here, so that the caller
 # sees the answer; beyond it the connection is broken.
 MAX_DISCARDED_BYTES = 16_777_216
+HEAD_TIMED_OUT = (
+    b"HTTP/1.1 408 Request Timeout\r\n"
+    b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -73,6 +79,31 @@
         """Whether the body is over the limit."""
         return self.body_size > self.body_limit
 
+    def gotLength(self, length: int | None) -> None:
+        """Note that the head has been read.
+
+        :param length: Length of the body in bytes, if it is stated.
+        """
+        super().gotLength(length)
+        connection = self._find_connection()
+        if connection is not None:
+            connection.note_head()
+
+    def finish(self) -> None:
+        """Let the next request's head begin, then end this one."""
+        connection = self._find_connection()
+        if connection is not None:
+            connection.note_end()
+        super().finish()
+
+    def _find_connection(self) -> "_CountedConnection | None":
+        # There is none any more once the caller has gone.
+        channel = self.channel
+        transport = channel.transport if channel is not None else None
+        if isinstance(transport, _CountedConnection):
+            return transport
+        return None
+
     def handleContentChunk(self, data: bytes) -> None:
         """Keep a piece of the body, unless there is too much of it.
 
@@ -87,22 +118,71 @@
 
 
 class _CountedConnection(ProtocolWrapper):
-    """A caller's connection that tells its factory when it is closed."""
+    """A caller's connection: it bounds the time until a head is read.
+
+    It tells its factory when it is closed.
+    """
+
+    _in_request = False
+    _head_limit: DelayedCall | None = None
+
+    def dataReceived(self, data: bytes) -> None:
+        """Bound the time of a head from its first byte on.
+
+        :param data: What arrived.
+        """
+        if not self._in_request and self._head_limit is None:
+            self._head_limit = self.factory.call_later(self._refuse)
+        super().dataReceived(data)
 
     def connectionLost(self, reason: Failure) -> None:  # type: ignore[override]
+        self._stop_limit()
         super().connectionLost(reason)
         self.factory.notice_closed()
 
+    def note_head(self) -> None:
+        """Learn that a head has been read."""
+        self._in_request = True
+        self._stop_limit()
+
+    def note_end(self) -> None:
+        """Learn that a request has been answered."""
+        self._in_request = False
+
+    def _stop_limit(self) -> None:
+        limit, self._head_limit = self._head_limit, None
+        if limit is not None and limit.active():
+            limit.cancel()
+
+    def _refuse(self) -> None:
+        self._head_limit = None
+        self.write(HEAD_TIMED_OUT)
+        self.loseConnection()
+
 
 class _ConnectionCounter(WrappingFactory):
-    """Knows the callers' connections that are open."""
+    """Knows the callers' connections that are open.
+
+    :param site: Serves them.
+    :param reactor: The reactor.
+    :param head_s: Longest time in seconds until a request's head is read.
+    """
 
     protocol = _CountedConnection
 
-    def __init__(self, site: Site) -> None:
+    def __init__(self, site: Site, *, reactor: Any, head_s: float) -> None:
         super().__init__(site)
+        self._reactor = reactor
+        self._head_s = head_s
         self._closed: Deferred[None] | None = None
 
+    def call_later(self, refuse: Callable[[], None]) -> DelayedCall:
+        """Set the limit of a head that begins now.
+
+        :param refuse: Called unless it is cancelled before.
+        """
+        return cast(DelayedCall, self._reactor.callLater(self._head_s, refuse))
+
     def close_all(self) -> Deferred[None]:
         """Close all connections once what was written has left.
 
@@ -130,6 +210,7 @@
     :param reactor: The reactor.
     :param listen: ``host:port`` to listen on.
     :param body_limit: Largest request body in bytes.
+    :param head_s: Longest time in seconds until a request's head is read.
     :param report: Told each event.
     :param observe: Told each answer and the seconds that it took.
     :param read_status: Gives the node's status.
@@ -143,6 +224,7 @@
         reactor: Any,
         listen: str,
         body_limit: int,
+        head_s: float,
         report: Report,
         observe: Callable[[Answer, float], None],
         read_status: Callable[[], NodeStatus],
@@ -166,7 +248,9 @@
         site = Site(
             self._build_app().resource(), requestFactory=request_factory
         )
-        self._connections = _ConnectionCounter(site)
+        self._connections = _ConnectionCounter(
+            site, reactor=reactor, head_s=head_s
+        )
 
     @property
     def port(self) -> int:
--- a/packages/bluebellbayd/bluebellbayd/daemon.py
+++ b/packages/bluebellbayd/bluebellbayd/daemon.py
@@ -124,6 +124,7 @@
             reactor=self._reactor,
             listen=settings.node.listen,
             body_limit=settings.limits.body_bytes,
+            head_s=settings.limits.head_s,
             report=self.feed,
             observe=self.metrics.observe_answer,
             read_status=self._read_status,
