--- a/features/follower.feature
+++ b/features/follower.feature
@@ -19,6 +19,13 @@
     When a change comes at revision 9
     Then the store is regained before the change is reported
 
+  Scenario: A store that is lost is asked often, so that its return is noticed
+    Given a follower of a store at revision 5
+    When the watch fails 3 times
+    Then each call since then waits for 0.1 s at most
+    When a change comes at revision 9
+    Then the next call waits as usual
+
   Scenario: One unreadable moment does not end the following
     Given a follower of a store at revision 5
     When a change comes that can't be handled
--- a/features/steps/follower_steps.py
+++ b/features/steps/follower_steps.py
@@ -30,6 +30,7 @@
         self.revision = revision
         self.lists = []
         self.watched = []
+        self.waits = []
         self.waiting = None
         self.puts = []
         self.lease = 0
@@ -41,6 +42,7 @@
 
     async def watch(self, after, wait_s):
         self.watched.append(after)
+        self.waits.append(wait_s)
         self.waiting = Deferred()
         return await self.waiting
 
@@ -149,6 +151,17 @@
         pass_time(context, 2.0)
 
 
+@behave.then("each call since then waits for {seconds:g} s at most")
+def step_short_waits(context, seconds):
+    assert context.store.waits[0] > seconds, context.store.waits
+    assert max(context.store.waits[1:]) <= seconds, context.store.waits
+
+
+@behave.then("the next call waits as usual")
+def step_usual_wait(context):
+    assert context.store.waits[-1] == context.store.waits[0]
+
+
 @behave.then("the store was reported as lost")
 def step_lost(context):
     assert any(isinstance(item, StoreLost) for item in context.events)
--- a/packages/bluebellbay/bluebellbay/transport/follower.py
+++ b/packages/bluebellbay/bluebellbay/transport/follower.py
@@ -21,6 +21,7 @@
 
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
+LOST_WAIT_S = 0.1
 LEASE_S = 30.0
 RENEWALS_A_LEASE = 3
 
@@ -126,9 +127,9 @@
 
     async def _read_changes(self, revision: int) -> int:
         nodes = self._count_nodes()
-        changes = await self._client.watch(
-            revision, self.pace.find_wait(nodes)
-        )
+        # A store that is lost is asked often, not waited for.
+        wait_s = LOST_WAIT_S if self._lost else self.pace.find_wait(nodes)
+        changes = await self._client.watch(revision, wait_s)
         self._regain()
         for item in changes.items:
             for event in self._schema.read_change(item):
