Bound a wait at the store by the time a node has after an outage

The bound added the time for a change to the time after an outage; the rule counts from the outage's end alone.

--- a/features/follower.feature
+++ b/features/follower.feature
@@ -53,7 +53,7 @@
     Then the rest is read without a pause
 
   Scenario Outline: Fewer calls never delay a change beyond its bound
-    Then with <apply> s to apply and <contact> s of contact, a node of <nodes> hears of a change in time though a connection is silent
+    Then with <apply> s to apply and <contact> s of contact, a node of <nodes> hears of a change in time though an outage silenced its call
 
     Examples:
       | apply | contact | nodes |
--- a/features/steps/follower_steps.py
+++ b/features/steps/follower_steps.py
@@ -22,6 +22,8 @@
 
 AMPLE_S = 60.0
 CALL_TIMEOUT_S = 1.5
+LONGEST_FIRST_PAUSE_S = 0.15
+SHORT_OUTAGE_S = 0.8
 CHANGE = (StoreItem(key="key", value=b"value"),)
 
 
@@ -205,15 +207,15 @@
 
 @behave.then(
     "with {apply_s:g} s to apply and {contact_s:g} s of contact, a node of "
-    "{nodes:d} hears of a change in time though a connection is silent"
+    "{nodes:d} hears of a change in time though an outage silenced its call"
 )
 def step_in_time(context, apply_s, contact_s, nodes):
     pace = StorePace(apply_s=apply_s, contact_s=contact_s)
     gather_s = pace.find_gather(nodes, CHANGE)
     assert gather_s + CALL_TIMEOUT_S < apply_s, pace
-    # A wait that was silent, its time limit, and the next call.
-    heard_s = pace.find_wait(nodes) + CALL_TIMEOUT_S + gather_s
-    assert heard_s <= contact_s + apply_s + gather_s, heard_s
+    # An outage begins with the wait, and all else is lost to it.
+    asked_s = pace.find_wait(nodes) + CALL_TIMEOUT_S + LONGEST_FIRST_PAUSE_S
+    assert asked_s - SHORT_OUTAGE_S <= contact_s, asked_s
 
 
 @behave.when("{count:d} changes come at once, as after an outage")
--- a/packages/bluebellbay/bluebellbay/transport/store_pace.py
+++ b/packages/bluebellbay/bluebellbay/transport/store_pace.py
@@ -17,8 +17,9 @@
 # A batch of so many changes or bytes may be but a part of what has changed.
 LONG_BATCH = 50
 LONG_BATCH_BYTES = 262_144
-# To notice that a wait was in vain, and to wait anew.
-NOTICE_S = 2.5
+# A wait that an outage has silenced ends by its time limit, 1.5 s late; an
+# outage takes at least the rest of this off the time that a node has after it.
+NOTICE_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -27,8 +28,8 @@
 
     :param apply_s: Seconds in which a change must be in force once the store
         has accepted it.
-    :param contact_s: Seconds that a node may need besides after the store
-        could not be reached.
+    :param contact_s: Seconds after an outage in which a node must have
+        caught up.
     """
 
     apply_s: float = 3.0
@@ -42,7 +43,7 @@
         :param nodes: Nodes that call the store.
         :returns: Seconds.
         """
-        longest_s = self.contact_s + self.apply_s - NOTICE_S
+        longest_s = self.contact_s - NOTICE_S
         wanted_s = SHORTEST_WAIT_S + WAIT_S_A_NODE * nodes
         return max(SHORTEST_WAIT_S, min(longest_s, wanted_s))
 
