Show an operator the change that came since the store was read

The command had read the store, the other wrote, and the entry VMs, asked next, already knew the other's revision; so it was taken for the base and not listed as foreign. Ruled out: a lost update (one made it, the other did not) and the scenario, which now holds both reads; it let either order come about. Before: the new scenario, which holds one read while the other command runs, was red each time. After: green; the foreign changes are those since what the write expected to stand.

--- a/features/operator.feature
+++ b/features/operator.feature
@@ -59,6 +59,11 @@
     When two operators who have read the same set the same profile
     Then one made it and the other was shown the change that came first
 
+  Scenario: An operator is shown the change that came since the store was read
+    Given a cluster for an operator
+    When an operator has read, and another sets the same profile meanwhile
+    Then one made it and the other was shown the change that came first
+
   Scenario: Settings with faults exit with a line for each
     When an operator checks settings with two faults
     Then the command exits with 2 and says node.listen
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -104,6 +104,23 @@
         context.results = [command.result() for command in commands]
 
 
+@behave.when(
+    "an operator has read, and another sets the same profile meanwhile"
+)
+def overtake(context):
+    cluster = context.cluster
+    settings = write_patient_settings(cluster)
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        cluster.control_store(hold_reads=CONFIGURATION_KEY, hold_one=True)
+        held = pool.submit(
+            run_command, settings, "profile", "set", "batch", "--rank", "1"
+        )
+        wait_until(lambda: count_held_reads(cluster) == 1, "the first read")
+        other = run(context, "profile", "set", "batch", "--rank", "2")
+        cluster.control_store(hold_reads="", hold_one=False)
+        context.results = [held.result(), other]
+
+
 def write_patient_settings(cluster):
     """Write settings of operators who wait however slow the machine is."""
     path = cluster.daemons["entry-1"].settings_path
--- a/packages/bluebellctl/bluebellctl/change.py
+++ b/packages/bluebellctl/bluebellctl/change.py
@@ -93,7 +93,8 @@
 class _Attempt:
     settings: Settings
     change: Change
-    base: ConfigurationDocument | None
+    # What the write expects to stand; an entry VM may know a later one.
+    expected: ConfigurationDocument | None
     document: ConfigurationDocument
     wait_s: float
 
@@ -165,7 +166,7 @@
     attempt = _Attempt(
         settings=settings,
         change=change,
-        base=base,
+        expected=stored.ok.document,
         document=built.ok,
         wait_s=wait_s,
     )
@@ -221,7 +222,7 @@
 def _report_conflict(
     attempt: _Attempt, found: ConfigurationDocument | None
 ) -> Report:
-    foreign = list_foreign_changes(attempt.base, found) if found else ()
+    foreign = list_foreign_changes(attempt.expected, found) if found else ()
     lines = [
         "Not made: another change came first, or the write was lost.",
         *(
--- a/packages/standins/bluebellbay_standins/store.py
+++ b/packages/standins/bluebellbay_standins/store.py
@@ -45,6 +45,7 @@
         answers until this is taken back.
     :param hold_reads: Key whose reads, but not watches, take effect and wait
         with their answers until this is taken back; none if empty.
+    :param hold_one: Whether one read is held at a time, and others pass.
     :param writes_per_s: Rate of writes, leases included.
     :param reads_per_s: Rate of reads, each watch counted as one.
     """
@@ -55,6 +56,7 @@
     lose_answers: int = 0
     hold_answers: bool = False
     hold_reads: str = ""
+    hold_one: bool = False
     writes_per_s: float = 400.0
     reads_per_s: float = 2000.0
 
@@ -149,7 +151,7 @@
             return refusal
         if b"after" not in args:
             entry = self.keys.read(key)
-            if self._behaviour.hold_reads == key:
+            if self._is_to_be_held(key):
                 self.counts.held += 1
                 await self._wait_for_release()
             return await self._answer(request, entry)
@@ -293,6 +295,11 @@
         self._leases[lease] = (ttl_s, self._clock.seconds() + ttl_s)
         return await self._answer(request, {"lease": lease, "ttl_s": ttl_s})
 
+    def _is_to_be_held(self, key: str) -> bool:
+        if self._behaviour.hold_reads != key:
+            return False
+        return not (self._behaviour.hold_one and self._held)
+
     async def _wait_for_release(self) -> None:
         released: Deferred[None] = Deferred()
         self._held.add(released)
