--- a/features/steps/platform_world.py
+++ b/features/steps/platform_world.py
@@ -29,11 +29,20 @@
 LOOPBACK = name_host(200)
 AMPLE_S = 60
 POLL_S = 0.05
+_given_ports = set()
 NOT_RUN = (408, 421, 429, 503)
 
 
 def find_ports(count):
-    probes = [socket.create_server((LOOPBACK, 0)) for _ in range(count)]
+    # The kernel may name a port again as soon as its probe is closed.
+    probes = []
+    while len(probes) < count:
+        probe = socket.create_server((LOOPBACK, 0))
+        if probe.getsockname()[1] in _given_ports:
+            probe.close()
+            continue
+        probes.append(probe)
+        _given_ports.add(probe.getsockname()[1])
     ports = [probe.getsockname()[1] for probe in probes]
     for probe in probes:
         probe.close()
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -48,7 +48,8 @@
             self.version = 8
             for program in world.programs:
                 program.start()
-            assert wait_for(lambda: all(p.is_ready() for p in world.programs))
+            ready = wait_for(lambda: all(p.is_ready() for p in world.programs))
+            assert ready, self._describe_programs()
             callers = [
                 threading.Thread(target=self._call, args=(number,))
                 for number in range(CALLERS)
@@ -71,6 +72,14 @@
             world.stop()
         return f"{len(self.postings)} postings, {len(self.queries)} queries"
 
+    def _describe_programs(self):
+        return "\n".join(
+            f"{program.name} ready {program.is_ready()}, "
+            f"exit code {program.process.poll()}, ports {program.ports}\n"
+            f"{program.log.read_text()[-2000:]}"
+            for program in self.world.programs
+        )
+
     def _fail(self):
         fault = self.rng.choice(
             (
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -103,7 +103,7 @@
                 continue
             passed = element.get("status") == "passed"
             yield Verdict(
-                name=element["name"],
+                name=element["name"].strip(),
                 passed=passed,
                 output="" if passed else output,
             )
