--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,14 +10,15 @@
 import standins
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-SERVICE = "settlement"
+SERVICES = ("settlement-1", "settlement-2")
 # The figures of the site file's `garble` with `extra late`: at most 0.6 of
 # the servers, 0.03 of their answers, for 5 s. Here 0.5 of the servers.
 COPY_SHARE = 0.03
 WINDOW_S = 5.0
 PAUSE_S = 2.0
 LENGTH_S = 84.0
-CLIENTS = 20
+# For each service.
+CLIENTS = 18
 
 
 class Copies:
@@ -53,7 +54,13 @@
 
 
 async def press(
-    world: Any, client: Any, number: Any, ends_at: Any, answers: Any
+    world: Any,
+    client: Any,
+    *,
+    route: Any,
+    number: Any,
+    ends_at: Any,
+    answers: Any,
 ) -> None:
     """Send unsafe requests one by one; each is a new client attempt."""
     count = 0
@@ -62,7 +69,7 @@
         request_id = f"{number:02d}-{count:05d}"
         answers[request_id] = await client.call(
             request_id,
-            "/settle/lot",
+            f"/{route}/lot",
             method="POST",
             body=f"lot {request_id}".encode(),
         )
@@ -104,20 +111,24 @@
     rng = random.Random(1)
     replicas = [
         await world.add_replica(
-            name=f"i-{number}",
-            service=SERVICE,
+            name=f"{service}-{number}",
+            service=service,
             slots=4,
             queue=4,
             work_s=lambda: rng.uniform(0.02, 0.08),
         )
+        for service in SERVICES
         for number in range(2)
     ]
-    route = standins.build_route(
-        "settle", service=SERVICE, kind="unsafe", **{"max-attempts": 3}
-    )
+    routes = [
+        standins.build_route(
+            service, service=service, kind="unsafe", **{"max-attempts": 3}
+        )
+        for service in SERVICES
+    ]
     await world.store.put(
         "op/config",
-        standins.build_configuration(3, [route], [SERVICE], connections=45),
+        standins.build_configuration(3, routes, SERVICES, connections=45),
     )
     for _ in range(4):
         await world.add_node()
@@ -126,8 +137,9 @@
     start = world.record.now()
 
     if standins.is_troubled():
-        # One of two replicas is faulty.
-        replicas[0].sends_copy = Copies(record=world.record, start=start)
+        # One of the two replicas of each service is faulty.
+        for replica in replicas[::2]:
+            replica.sends_copy = Copies(record=world.record, start=start)
     answers = {}
     await asyncio.gather(
         *(
@@ -136,11 +148,12 @@
                 standins.Client(
                     record=world.record, node=world.nodes[number % 4]
                 ),
-                number,
-                start + LENGTH_S,
-                answers,
+                route=SERVICES[number // CLIENTS],
+                number=number,
+                ends_at=start + LENGTH_S,
+                answers=answers,
             )
-            for number in range(CLIENTS)
+            for number in range(CLIENTS * len(SERVICES))
         )
     )
     return judge(world, answers)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,9 +15,9 @@
 DRAIN_S = 3.0
 # Of 40 replicas four leave in a round: 0.1, where `scale_in` has up to 0.13.
 LEAVING = 4
-GAP_S = 0.1
+GAP_S = 0.5
 # A waiting watch is cut once in a round, this long after the first removal.
-CUT_AFTER_S = 1.6
+CUT_AFTER_S = 2.0
 # How long a replica serves after its removal: `drain-ms`, and "a little longer
 # (at times many seconds)".
 SERVES_ON_S = 5.0
