Tell from logs and metrics how old the store's picture is

Lost and Regained state for how long the store had not answered, each listing has a line with its cause, pages and failures, and a gauge and a counter say the same.

No decision changes. Seen red first: the new scenario of follower.feature.

--- a/features/follower.feature
+++ b/features/follower.feature
@@ -102,3 +102,9 @@
     Given a follower of a store at revision 5
     When the node stops following the store
     Then no call was made since and no exception was reported
+
+  Scenario: The age of what a node knows can be told from its log
+    Given a follower of a store at revision 5
+    When the watch fails 1 times
+    Then the loss and the return tell for how long the store was silent
+    And the listing at the start is reported with its pages and failures
--- a/features/steps/follower_steps.py
+++ b/features/steps/follower_steps.py
@@ -10,6 +10,7 @@
 from bluebellbay.protocol.registry import NodeLeaseEnded
 from bluebellbay.protocol.registry import StoreConnectionLost
 from bluebellbay.protocol.registry import StoreConnectionRestored
+from bluebellbay.protocol.registry import StoreListed
 from bluebellbay.transport.follower import StoreFollower
 from bluebellbay.transport.store import HistoryCompacted
 from bluebellbay.transport.store import LeaseExpired
@@ -370,3 +371,24 @@
     few_s = pace.compute_batch_delay(few, SINGLE_CHANGE)
     many_s = pace.compute_batch_delay(many, SINGLE_CHANGE)
     assert 3 * few_s <= many_s, pace
+
+
+@behave.then("the loss and the return tell for how long the store was silent")
+def check_silence_told(context):
+    (lost,) = find_events(context, StoreConnectionLost)
+    deliver_change(context, 9, b"value")
+    (restored,) = find_events(context, StoreConnectionRestored)
+    assert lost.silent_s is not None
+    assert restored.silent_s > lost.silent_s, (lost, restored)
+
+
+@behave.then(
+    "the listing at the start is reported with its pages and failures"
+)
+def check_listing_told(context):
+    (listed,) = find_events(context, StoreListed)
+    assert (listed.cause, listed.pages, listed.failures) == ("start", 1, 0)
+
+
+def find_events(context, kind):
+    return [event for event in context.events if isinstance(event, kind)]
--- a/packages/bluebellbay/bluebellbay/coordination/routing/replicas.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/replicas.py
@@ -21,6 +21,7 @@
 from bluebellbay.protocol.registry import ReplicaUpdated
 from bluebellbay.protocol.registry import StoreConnectionLost
 from bluebellbay.protocol.registry import StoreConnectionRestored
+from bluebellbay.protocol.registry import StoreListed
 from bluebellbay.protocol.replica import ReplicaEntry
 from bluebellbay.state.replica import ReplicaRecord
 
@@ -52,6 +53,7 @@
             ReplicaRemoved: self._handle_removal,
             StoreConnectionLost: self._handle_store_lost,
             StoreConnectionRestored: self._handle_store_regained,
+            StoreListed: self._handle_store_listed,
             TimerTick: self._handle_time,
         }
 
@@ -171,13 +173,13 @@
             self.context.log(
                 "Lost the store; replicas are kept until it answers.",
                 reason=event.reason,
+                silent_s=_round(event.silent_s),
             )
         self._store_lost = True
 
     def _handle_store_regained(
         self, event: StoreConnectionRestored, now: float
     ) -> None:
-        del event
         if not self._store_lost:
             return
         self._store_lost = False
@@ -186,6 +188,22 @@
             "Regained the store; missing replicas have a grace period.",
             version=self.state.routes.version,
             replicas=len(self.state.replicas),
+            silent_s=_round(event.silent_s),
+        )
+
+    def _handle_store_listed(self, event: StoreListed, now: float) -> None:
+        del now
+        outcome = {"error": event.error} if event.error else {}
+        self.context.log(
+            "Could not read all items of the store."
+            if event.error
+            else "Read all items of the store.",
+            cause=event.cause,
+            items=event.items,
+            pages=event.pages,
+            ms=round(event.seconds * 1000, 1),
+            failures=event.failures,
+            **outcome,
         )
 
     def _handle_time(self, event: object, now: float) -> None:
@@ -213,6 +231,10 @@
         )
 
 
+def _round(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 2)
+
+
 def _is_new_incarnation(entry: ReplicaEntry, former: ReplicaEntry) -> bool:
     return (
         entry.started_ms != former.started_ms
--- a/packages/bluebellbay/bluebellbay/protocol/registry.py
+++ b/packages/bluebellbay/bluebellbay/protocol/registry.py
@@ -64,14 +64,43 @@
     """The store does not respond.
 
     :param reason: Short description of the failure.
+    :param silent_s: Seconds since the store's last answer; ``None`` if it
+        never answered.
     """
 
     reason: str
+    silent_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StoreConnectionRestored:
-    """The store responds again."""
+    """The store responds again.
+
+    :param silent_s: Seconds between its last answer before the loss and the
+        present one; ``None`` if it never answered before.
+    """
+
+    silent_s: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StoreListed:
+    """All items of the store were read, or reading them failed.
+
+    :param cause: Why they were read, as a short phrase.
+    :param items: Number of items read.
+    :param pages: Number of pages read.
+    :param seconds: Time taken, with failed tries.
+    :param failures: Number of tries that failed since the last whole one.
+    :param error: Why this try failed; empty if it is whole.
+    """
+
+    cause: str
+    items: int
+    pages: int
+    seconds: float
+    failures: int
+    error: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/bluebellbay/bluebellbay/protocol/routing.py
+++ b/packages/bluebellbay/bluebellbay/protocol/routing.py
@@ -34,6 +34,7 @@
 from bluebellbay.protocol.registry import SetKeepAlive
 from bluebellbay.protocol.registry import StoreConnectionLost
 from bluebellbay.protocol.registry import StoreConnectionRestored
+from bluebellbay.protocol.registry import StoreListed
 
 RoutingEvent = (
     ExchangeOpened
@@ -48,6 +49,7 @@
     | RulesReloaded
     | StoreConnectionLost
     | StoreConnectionRestored
+    | StoreListed
     | DelegationAnswered
     | DelegationUnacknowledged
     | PeerProbed
--- a/packages/bluebellbay/bluebellbay/transport/follower.py
+++ b/packages/bluebellbay/bluebellbay/transport/follower.py
@@ -11,9 +11,11 @@
 from bluebellbay.protocol.node import NodeEntry
 from bluebellbay.protocol.registry import StoreConnectionLost
 from bluebellbay.protocol.registry import StoreConnectionRestored
+from bluebellbay.protocol.registry import StoreListed
 from bluebellbay.transport.store import HistoryCompacted
 from bluebellbay.transport.store import LeaseExpired
 from bluebellbay.transport.store import StoreClient
+from bluebellbay.transport.store import StoreItems
 from bluebellbay.transport.store import StoreSchema
 from bluebellbay.transport.store import StoreUnavailable
 from bluebellbay.transport.store_pace import StorePace
@@ -82,13 +84,20 @@
         self._count_nodes = count_nodes
         self._reactor = reactor
         self._client = client
-        self._guard = WatchGuard(reactor=reactor, client=client)
+        self._guard = WatchGuard(
+            reactor=reactor, client=client, report_answer=self._record_answer
+        )
         self._schema = schema
         self._node = node
         self._report = report
         self._report_exception = report_exception
         self._rng = rng
         self._lost = False
+        self._answered_at: float | None = None
+        # Time between the last two answers.
+        self._silent_s: float | None = None
+        self._listing_cause = "start"
+        self._listing_failures = 0
         self._tasks: list[Deferred[None]] = []
 
     def start(self) -> None:
@@ -104,6 +113,15 @@
             task.cancel()
         self._tasks = []
 
+    def measure_silence(self) -> float | None:
+        """Measure how long the store has not answered a watch or a check.
+
+        :returns: Seconds since its last answer; ``None`` if it never did.
+        """
+        if self._answered_at is None:
+            return None
+        return float(self._reactor.seconds()) - self._answered_at
+
     async def _follow_changes(self) -> None:
         backoff = _Backoff(reactor=self._reactor, rng=self._rng)
         revision: int | None = None
@@ -115,6 +133,7 @@
                     revision = await self._read_changes(revision)
                 backoff.reset()
             except HistoryCompacted:
+                self._listing_cause = "history gone"
                 revision = None
             except StoreUnavailable as error:
                 self._report_lost(str(error))
@@ -124,16 +143,55 @@
             except Exception as error:
                 # A change that can't be handled must not end the watch.
                 self._report_exception(error)
+                self._listing_cause = "unexpected error"
                 revision = None
                 await backoff.wait()
 
     async def _read_all(self) -> int:
-        items = await self._client.list_items()
+        items = await self._list_items()
         self._report_regained()
         for event in self._schema.decode_items(items.items):
             self._report(event)
         return items.revision
 
+    async def _list_items(self) -> StoreItems:
+        began_at = self._reactor.seconds()
+        try:
+            items = await self._client.list_items()
+        except StoreUnavailable as error:
+            self._listing_failures += 1
+            self._report_listing(began_at, error=str(error))
+            raise
+        self._record_answer()
+        self._report_listing(
+            began_at, items=len(items.items), pages=items.pages
+        )
+        self._listing_failures = 0
+        return items
+
+    def _report_listing(
+        self,
+        began_at: float,
+        *,
+        items: int = 0,
+        pages: int = 0,
+        error: str = "",
+    ) -> None:
+        self._report(
+            StoreListed(
+                cause=self._listing_cause,
+                items=items,
+                pages=pages,
+                seconds=self._reactor.seconds() - began_at,
+                failures=self._listing_failures,
+                error=error,
+            )
+        )
+
+    def _record_answer(self) -> None:
+        self._silent_s = self.measure_silence()
+        self._answered_at = self._reactor.seconds()
+
     async def _read_changes(self, revision: int) -> int:
         nodes = self._count_nodes()
         # After a failure short watches notice the store's return early.
@@ -181,12 +239,14 @@
 
     def _report_lost(self, reason: str) -> None:
         self._lost = True
-        self._report(StoreConnectionLost(reason=reason))
+        self._report(
+            StoreConnectionLost(reason=reason, silent_s=self.measure_silence())
+        )
 
     def _report_regained(self) -> None:
         if self._lost:
             self._lost = False
-            self._report(StoreConnectionRestored())
+            self._report(StoreConnectionRestored(silent_s=self._silent_s))
 
     def _report_task_failure(self, failure: Any) -> None:
         if not failure.check(CancelledError):
--- a/packages/bluebellbay/bluebellbay/transport/store.py
+++ b/packages/bluebellbay/bluebellbay/transport/store.py
@@ -37,10 +37,12 @@
 
     :param items: The items, or changes in order.
     :param revision: Revision after which to watch for changes.
+    :param pages: Number of answers that they were read in.
     """
 
     items: tuple[StoreItem, ...]
     revision: int
+    pages: int = 1
 
 
 class StoreClient(abc.ABC):
--- a/packages/bluebellbay/bluebellbay/transport/watch_guard.py
+++ b/packages/bluebellbay/bluebellbay/transport/watch_guard.py
@@ -1,5 +1,6 @@
 """Watches the store, and ends watches that have died silently."""
 
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.defer import CancelledError
@@ -23,9 +24,17 @@
 
     :param reactor: Twisted reactor.
     :param client: Makes the calls to the store.
+    :param report_answer: Called with each answer of the store.
     """
 
-    def __init__(self, *, reactor: Any, client: StoreClient) -> None:
+    def __init__(
+        self,
+        *,
+        reactor: Any,
+        client: StoreClient,
+        report_answer: Callable[[], None],
+    ) -> None:
+        self._report_answer = report_answer
         self._reactor = reactor
         self._client = client
         self._fault: str | None = None
@@ -51,7 +60,9 @@
         )
         checks.addErrback(lambda failure: failure.trap(CancelledError))
         try:
-            return await watch
+            items = await watch
+            self._report_answer()
+            return items
         except CancelledError:
             if self._fault is None:
                 raise
@@ -74,6 +85,7 @@
             raise
         except Exception as error:
             return f"a check failed: {error}"
+        self._report_answer()
         if revision <= after:
             return None
         await deferLater(self._reactor, ANSWER_GRACE_S)
--- a/packages/bluebellbayd/bluebellbayd/router.py
+++ b/packages/bluebellbayd/bluebellbayd/router.py
@@ -131,6 +131,8 @@
         self._addresses = addresses
         self._node = rules.node
         self._log_rate_limiter = LogRateLimiter()
+        # Errors are few, and must not go with the many lines of a busy node.
+        self._error_rate_limiter = LogRateLimiter()
         self._log_writer = log_writer
         self._arrival_times: dict[int, float] = {}
         self._health_page = HealthPage()
@@ -319,14 +321,21 @@
         self._health_page.ready = command.healthy
 
     def _log_decision(self, decision: LogDecision) -> None:
-        if decision.request_id and not self._log_rate_limiter.try_acquire(
+        is_error = any(field.name == "error" for field in decision.fields)
+        limiter = (
+            self._error_rate_limiter if is_error else self._log_rate_limiter
+        )
+        if decision.request_id and not limiter.try_acquire(
             self._reactor.seconds()
         ):
             return
         log_decision(decision)
 
     def _flush_log(self) -> None:
-        dropped_lines = self._log_rate_limiter.pop_suppressed_count()
+        dropped_lines = (
+            self._log_rate_limiter.pop_suppressed_count()
+            + self._error_rate_limiter.pop_suppressed_count()
+        )
         if self._log_writer is not None:
             self._log_writer.flush()
             dropped_lines += self._log_writer.pop_dropped_count()
@@ -353,6 +362,7 @@
 
     def _update_metrics(self) -> CollectorRegistry:
         self.metrics.set_gauges(self.core.state)
+        self.metrics.set_store_silence(self._store_follower.measure_silence())
         return self.metrics.registry
 
     def _handle_signal(self, number: int, frame: Any) -> None:
--- a/packages/bluebellbayd/bluebellbayd/routing_metrics.py
+++ b/packages/bluebellbayd/bluebellbayd/routing_metrics.py
@@ -12,6 +12,7 @@
 from bluebellbay.protocol.exchange import ExchangeAbandoned
 from bluebellbay.protocol.exchange import ExchangeAnswer
 from bluebellbay.protocol.exchange import MergedAnswer
+from bluebellbay.protocol.registry import StoreListed
 from bluebellbay.state.router import RouterState
 
 LATENCY_BUCKETS_S = (
@@ -99,6 +100,17 @@
         self._replicas = Gauge(
             "bluebellbay_replicas", "Replicas known.", registry=registry
         )
+        self._store_silent_seconds = Gauge(
+            "bluebellbay_store_silent_seconds",
+            "Time since the store's last answer to a watch or a check.",
+            registry=registry,
+        )
+        self._store_listings = Counter(
+            "bluebellbay_store_listings",
+            "Readings of all items of the store, by how they ended.",
+            ("end",),
+            registry=registry,
+        )
         self._nodes = Gauge(
             "bluebellbay_nodes", "Nodes counted.", registry=registry
         )
@@ -117,6 +129,10 @@
             self._attempt_ends.labels("lost" if event.sent else "unsent").inc()
         elif isinstance(event, ExchangeAbandoned):
             self._callers_left.inc()
+        elif isinstance(event, StoreListed):
+            self._store_listings.labels(
+                "failed" if event.error else "whole"
+            ).inc()
 
     def observe_answer(self, answer: ExchangeAnswer, seconds: float) -> None:
         """Record outcome, latency and missing shards of an answer.
@@ -161,6 +177,15 @@
         """
         self._dropped_log_lines.inc(lines)
 
+    def set_store_silence(self, seconds: float | None) -> None:
+        """Set the gauge of the time since the store's last answer.
+
+        :param seconds: The time; ``None`` if it never answered.
+        """
+        self._store_silent_seconds.set(
+            float("nan") if seconds is None else seconds
+        )
+
     def set_gauges(self, state: RouterState) -> None:
         """Update the gauges before the registry is exported.
 
