Show three ways in which a change of the store takes effect too late

Reproduces the incident of late configurations on the code of today: idle connections that went silent, a listing under refusals, and odd entries of another writer.

--- /dev/null
+++ b/features/steps/faulty_store.py
@@ -0,0 +1,129 @@
+"""A store over sockets whose answers can be refused or fall silent."""
+
+import base64
+import json
+import threading
+from urllib.parse import parse_qs
+from urllib.parse import urlsplit
+
+from platform_world import FakeStore
+
+SILENCE_S = 60.0
+UNAVAILABLE = 503
+GONE = 410
+
+
+class FaultyStore(FakeStore):
+    """The fake store, with pages, lost history and faults.
+
+    :ivar page_items: Largest number of items a page.
+    :ivar refuses_every_second: Whether every second call is refused.
+    :ivar delay_s: Seconds until a call is answered.
+    :ivar checks: Number of stale reads so far.
+    """
+
+    def __init__(self):
+        self.page_items = 500
+        self.refuses_every_second = False
+        self.delay_s = 0.0
+        self.checks = 0
+        self._calls = 0
+        self._era = 0
+        self._gone_revision = 0
+        self._ended = threading.Event()
+        super().__init__()
+
+    def put_bytes(self, key, value, *, encoded=None):
+        """Write bytes, or text in place of their Base64 form."""
+        with self._changed:
+            self.revision += 1
+            item = {
+                "key": key,
+                "value": encoded or base64.b64encode(value).decode(),
+                "revision": self.revision,
+            }
+            self.items[key] = item
+            self._events.append(item)
+            self._changed.notify_all()
+
+    def silence_connections(self):
+        """Answer nothing more on the connections that are open."""
+        self._era += 1
+
+    def forget_history(self):
+        """Drop all events and end the watches that wait."""
+        with self._changed:
+            self._gone_revision = self.revision
+            self._events.clear()
+            self._changed.notify_all()
+
+    def stop(self):
+        self._ended.set()
+        self.server.stop()
+
+    def _handle(self, request):
+        body = request.read_body()
+        if not hasattr(request, "era"):
+            request.era = self._era
+        url = urlsplit(request.path)
+        query = parse_qs(url.query, keep_blank_values=True)
+        self._calls += 1
+        if "allow-stale" in query:
+            self.checks += 1
+        if self.refuses_every_second and self._calls % 2:
+            request.answer(UNAVAILABLE)
+            return
+        self._ended.wait(self.delay_s)
+        answer = self._answer(url.path, query, body)
+        if request.era != self._era:
+            self._ended.wait(SILENCE_S)
+            request.close_connection = True
+            return
+        if answer is None:
+            request.answer(GONE, b"{}")
+            return
+        request.answer(200, json.dumps(answer).encode())
+
+    def _answer(self, path, query, body):
+        if path == "/-/kv-range":
+            return self._read_page(
+                query["prefix"][0], query.get("after", [""])[0]
+            )
+        if path == "/-/kv-key":
+            item = self.items[query["key"][0]]
+            return {**item, "store-revision": self.revision}
+        if path == "/-/kv-watch":
+            if int(query["after"][0]) < self._gone_revision:
+                return None
+            answer = super()._answer(path, query, body)
+            if int(query["after"][0]) < self._gone_revision:
+                return None
+            return answer
+        return super()._answer(path, query, body)
+
+    def _read_page(self, prefix, after):
+        with self._changed:
+            keys = [
+                key
+                for key in sorted(self.items)
+                if key.startswith(prefix) and key > after
+            ]
+            return {
+                "items": [self.items[key] for key in keys[: self.page_items]],
+                "has-more": len(keys) > self.page_items,
+                "store-revision": self.revision,
+            }
+
+    def _wait_for_events(self, after, wait_s):
+        def list_newer_events():
+            return [item for item in self._events if item["revision"] > after]
+
+        with self._changed:
+            self._changed.wait_for(
+                lambda: list_newer_events() or after < self._gone_revision,
+                timeout=wait_s,
+            )
+            return {
+                "events": list_newer_events(),
+                "store-revision": self.revision,
+            }
--- /dev/null
+++ b/features/store_age.feature
@@ -0,0 +1,47 @@
+Feature: A change of the store takes effect in time, whatever delays its reading
+
+  The follower, the adapter's store client and its decoders run over sockets
+  against a store with faults. A change must be in force 3 s after the store
+  accepted it, and 4 s after the connections went silent.
+
+  Scenario: A change is late after idle connections to the store went silent
+    Given a follower of a faulty store with 16 entries in pages of 500
+    And three calls were answered at the same time
+    When the open connections go silent just after a check and a configuration is written
+    Then the configuration is reported within 4 s
+    And all 16 entries are reported
+
+  Scenario Outline: A change is late while a listing is refused: <entries> entries, <page> a page
+    Given a follower of a faulty store with <entries> entries in pages of <page>
+    When every second call is refused, the history is gone and a configuration is written
+    Then the configuration is reported within 3 s
+    And all <entries> entries are reported
+
+    Examples:
+      | entries | page |
+      | 16      | 3    |
+      | 16      | 500  |
+      | 4000    | 3    |
+      | 4000    | 500  |
+
+  Scenario Outline: A change is late after another writer's odd entry: <odd>
+    Given a follower of a faulty store with 16 entries in pages of 500
+    When another writer leaves an entry with <odd>
+    And a configuration is written
+    Then the configuration is reported within 3 s
+    And all 16 entries are reported
+    And a follower that starts now reports the configuration within 3 s
+    And the odd entry was logged and names no replica
+
+    Examples:
+      | odd                        |
+      | 2000 nested objects        |
+      | 100000 nested lists        |
+      | an integer of 400 digits   |
+      | an integer of 5000 digits  |
+      | a fraction of 400 digits   |
+      | a number out of range      |
+      | a port out of range        |
+      | a port of 5000 digits      |
+      | no text                    |
+      | text that is not Base64    |
