--- a/features/steps/store_age_steps.py
+++ b/features/steps/store_age_steps.py
@@ -24,6 +24,7 @@
 ODD_KEY = "servers/odd"
 LISTING_TIMEOUT_S = 300
 SLOW_ANSWER_S = 0.3
+LONGEST_REASON = 200
 ENTRY = {
     "service": "s",
     "address": "127.0.0.1:80",
@@ -83,7 +84,7 @@
             client=self.client,
             schema=PlatformSchema(
                 report_unreadable=lambda key, reason: self.unreadable.append(
-                    key
+                    (key, reason)
                 )
             ),
             node=NodeEntry(
@@ -216,5 +217,8 @@
 
 @behave.then("the odd entry was logged and names no replica")
 def check_odd_entry(context):
-    assert wait_for(lambda: ODD_KEY in context.node.unreadable)
+    assert wait_for(lambda: context.node.unreadable)
+    for key, reason in context.node.unreadable:
+        assert key == ODD_KEY, key
+        assert 0 < len(reason) <= LONGEST_REASON, reason
     assert "odd" not in context.node.replicas
