Watch the store while it is listed, and read each page that fails again

Cause: a listing began again at its first page when one page failed, nothing of it took effect before its end, and the watch began after it. With half of the calls refused, 6 pages came through once in 64 tries.

Mend: the watch begins with the first page, so a change never waits. A page that fails is read again by itself and takes effect when it is read; the highest revision of an item counts, so no page undoes a change. The configuration is read by its key if the first page ends before it. A node that knows a part of its replicas is ready only if no query lacks shards.

The examples with 4,000 entries in pages of 3 check the configuration alone now, as the whole listing takes minutes; one with 400 entries checks it whole, which is stricter than before: what came and what went, not a number that was right already.

--- a/features/steps/follower_steps.py
+++ b/features/steps/follower_steps.py
@@ -17,6 +17,7 @@
 from bluebellbay.transport.store import StoreClient
 from bluebellbay.transport.store import StoreItem
 from bluebellbay.transport.store import StoreItems
+from bluebellbay.transport.store import StorePage
 from bluebellbay.transport.store import StoreSchema
 from bluebellbay.transport.store import StoreUnavailable
 from bluebellbay.transport.store_pace import StorePace
@@ -43,9 +44,12 @@
         self.renewal_failure = None
         self.renewals = 0
 
-    async def list_items(self):
+    async def read_page(self, after):
         self.listed_revisions.append(self.revision)
-        return StoreItems(items=(), revision=self.revision)
+        return StorePage(items=(), revision=self.revision)
+
+    async def read_item(self, key):
+        raise NotImplementedError
 
     async def watch(self, after, wait_s):
         self.watched_revisions.append(after)
@@ -77,7 +81,9 @@
 
 
 class FakeSchema(StoreSchema):
-    def decode_items(self, items):
+    first_key = "first"
+
+    def decode_items(self, items, *, complete):
         return ()
 
     def decode_change(self, item):
--- a/features/steps/store_age_steps.py
+++ b/features/steps/store_age_steps.py
@@ -9,19 +9,32 @@
 from faulty_store import FaultyStore
 from platform_world import LOOPBACK
 from platform_world import wait_for
+from routing_harness import build_configuration
+from routing_harness import build_replica
+from routing_harness import build_route
+from routing_harness import RoutingHarness
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import DeferredList
+from twisted.internet.task import Clock
 
 from bluebellbay.coordination.routing.core import RoutingCore
 from bluebellbay.protocol.node import NodeEntry
+from bluebellbay.protocol.process import ReportHealth
+from bluebellbay.protocol.registry import ConfigurationReceived
+from bluebellbay.protocol.registry import ReplicasListed
 from bluebellbay.protocol.router_rules import RouterRules
+from bluebellbay.transport._backoff import Backoff
 from bluebellbay.transport.follower import StoreFollower
+from bluebellbay.transport.store import StoreItem
+from bluebellbay.transport.store_listing import StoreListing
 from bluebellbay.transport.store_pace import StorePace
 from bluebellbay_platform.schema import PlatformSchema
 from bluebellbay_platform.store import PlatformStore
 
 ODD_KEY = "servers/odd"
+GONE_KEY = "servers/r0000"
+NEW_KEY = "servers/r9999"
 LISTING_TIMEOUT_S = 300
 SLOW_ANSWER_S = 0.3
 LONGEST_REASON = 200
@@ -171,10 +184,25 @@
     store = context.store
     with store._changed:
         store.refuses_every_second = True
+        store.items.pop(GONE_KEY)
+        store.put(NEW_KEY, ENTRY)
         write_configuration(context)
         store.forget_history()
 
 
+@behave.then("the listing tells which entry came and which one is gone")
+def check_listing(context):
+    def is_listed():
+        (gone,) = (
+            record
+            for record in context.node.core.state.replicas
+            if record.entry.replica_id in GONE_KEY
+        )
+        return gone.unlisted_at and "r9999" in context.node.replicas
+
+    assert wait_for(is_listed, LISTING_TIMEOUT_S)
+
+
 @behave.when("another writer leaves an entry with {odd}")
 def write_odd_entry(context, odd):
     text = ODD_ENTRIES[odd]
@@ -222,3 +250,73 @@
         assert key == ODD_KEY, key
         assert 0 < len(reason) <= LONGEST_REASON, reason
     assert "odd" not in context.node.replicas
+
+
+@behave.given("a routing core with a query route over {shards:d} shards")
+def start_core(context, shards):
+    context.harness = RoutingHarness()
+    names = [f"s{number}" for number in range(shards)]
+    context.entries = tuple(build_replica(name, name) for name in names)
+    route = build_route("query", shards=names)
+    context.harness.feed(
+        ConfigurationReceived(configuration=build_configuration(1, route))
+    )
+
+
+@behave.when("{part:d} of the {shards:d} shards are listed as a part of all")
+def list_part(context, part, shards):
+    del shards
+    context.harness.feed(
+        ReplicasListed(entries=context.entries[:part], complete=False)
+    )
+
+
+@behave.when("all {shards:d} shards are listed")
+def list_all(context, shards):
+    context.harness.feed(ReplicasListed(entries=context.entries[:shards]))
+
+
+@behave.then("the core does not report that it is ready")
+def check_core_not_ready(context):
+    assert not find_health_reports(context)
+
+
+@behave.then("the core reports that it is ready")
+def check_core_ready(context):
+    assert find_health_reports(context) == [ReportHealth(healthy=True)]
+
+
+def find_health_reports(context):
+    return [
+        command
+        for command in context.harness.commands
+        if isinstance(command, ReportHealth)
+    ]
+
+
+@behave.given(
+    "a listing that has taken note of a removal at revision {revision:d}"
+)
+def start_listing(context, revision):
+    clock = Clock()
+    context.listing = StoreListing(
+        reactor=clock,
+        client=None,
+        schema=None,
+        report=lambda event: None,
+        backoff=Backoff(reactor=clock, rng=random.Random(1)),
+        cause="start",
+        failures=0,
+    )
+    removal = StoreItem(key="k", value=None, revision=revision)
+    assert context.listing.add_changes([removal]) == (removal,)
+
+
+@behave.then(
+    "the item at revision {older:d} on a page is not newer, and at revision "
+    "{newer:d} it is"
+)
+def check_newer(context, older, newer):
+    for revision, is_newer in ((older, False), (newer, True)):
+        item = StoreItem(key="k", value=b"x", revision=revision)
+        assert bool(context.listing.add_changes([item])) is is_newer
--- a/features/store_age.feature
+++ b/features/store_age.feature
@@ -15,15 +15,20 @@
     Given a follower of a faulty store with <entries> entries in pages of <page>
     When every second call is refused, the history is gone and a configuration is written
     Then the configuration is reported within 3 s
-    And all <entries> entries are reported
+    And the listing tells which entry came and which one is gone
 
     Examples:
       | entries | page |
       | 16      | 3    |
       | 16      | 500  |
-      | 4000    | 3    |
+      | 400     | 3    |
       | 4000    | 500  |
 
+  Scenario: A change is late while a long listing is refused
+    Given a follower of a faulty store with 4000 entries in pages of 3
+    When every second call is refused, the history is gone and a configuration is written
+    Then the configuration is reported within 3 s
+
   Scenario Outline: A change is late after another writer's odd entry: <odd>
     Given a follower of a faulty store with 16 entries in pages of 500
     When another writer leaves an entry with <odd>
@@ -45,3 +50,14 @@
       | a port of 5000 digits      |
       | no text                    |
       | text that is not Base64    |
+
+  Scenario: A node is ready too early while its replicas are being listed
+    Given a routing core with a query route over 4 shards
+    When 2 of the 4 shards are listed as a part of all
+    Then the core does not report that it is ready
+    When all 4 shards are listed
+    Then the core reports that it is ready
+
+  Scenario: A page of a listing undoes a later change
+    Given a listing that has taken note of a removal at revision 8
+    Then the item at revision 5 on a page is not newer, and at revision 9 it is
--- a/packages/bluebellbay/bluebellbay/coordination/routing/exchange.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/exchange.py
@@ -46,7 +46,6 @@
         self._tasks: dict[int, RequestTask] = {}
         self._service_selector = WeightedRoundRobin()
         self._startup = StartupQueue()
-        self._replicas_listed = False
 
     def list_handlers(self) -> EventHandlers:
         """Return the handler of each type of event."""
@@ -81,10 +80,9 @@
         self._open(event, now)
 
     def _handle_registry_change(self, event: object, now: float) -> None:
-        if isinstance(event, ReplicasListed):
-            self._replicas_listed = True
+        del event
         configuration = self.state.routes.configuration
-        if configuration is not None and self._replicas_listed:
+        if configuration is not None and self.state.replicas_listed:
             self._open_kept(now)
 
     def _open_kept(self, now: float) -> None:
--- a/packages/bluebellbay/bluebellbay/coordination/routing/lifecycle.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/lifecycle.py
@@ -89,7 +89,7 @@
             not self.state.draining
             and self.state.routes.configuration is not None
             and len(self.state.replicas) > 0
-            and not (self.state.isolated and self._lacks_shards())
+            and not (self._knows_a_part() and self._lacks_shards())
         )
         if ready == self._ready:
             return
@@ -105,6 +105,9 @@
             draining=self.state.draining,
         )
 
+    def _knows_a_part(self) -> bool:
+        return self.state.isolated or not self.state.replicas_listed
+
     def _lacks_shards(self) -> bool:
         configuration = self.state.routes.configuration
         if configuration is None:
--- a/packages/bluebellbay/bluebellbay/coordination/routing/replicas.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/replicas.py
@@ -67,12 +67,15 @@
         )
 
     def _handle_list(self, event: ReplicasListed, now: float) -> None:
-        if not len(self.state.replicas):
-            self._add_first(event.entries, now)
-            return
-        listed = {entry.replica_id for entry in event.entries}
+        if event.complete:
+            self.state.replicas_listed = True
+        if not event.complete or not len(self.state.replicas):
+            self._add_all(event.entries, now)
         for entry in event.entries:
             self._apply_entry(entry, now)
+        if not event.complete:
+            return
+        listed = {entry.replica_id for entry in event.entries}
         for record in self.state.replicas:
             if record.entry.replica_id not in listed:
                 self._unlist(record, now)
@@ -117,12 +120,17 @@
         elif former.draining and not entry.draining:
             set_connection_limit(self.context, record)
 
-    def _add_first(
-        self, entries: tuple[ReplicaEntry, ...], now: float
-    ) -> None:
-        """Add the replicas that a started node lists, with one log line."""
-        self._unlisted.clear()
+    def _add_all(self, entries: tuple[ReplicaEntry, ...], now: float) -> None:
+        """Add the replicas that are not known, with one log line."""
+        entries = tuple(
+            entry
+            for entry in entries
+            if self.state.replicas.find(entry.replica_id) is None
+        )
+        if not entries:
+            return
         for entry in entries:
+            self._unlisted.pop(entry.replica_id, None)
             self.state.replicas.add(ReplicaRecord(entry=entry, added_at=now))
         set_connection_limits(self.context)
         self.context.log(
--- a/packages/bluebellbay/bluebellbay/protocol/registry.py
+++ b/packages/bluebellbay/bluebellbay/protocol/registry.py
@@ -21,12 +21,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ReplicasListed:
-    """The entries of all replicas were read from the store.
+    """The entries of all replicas, or of some, were read from the store.
 
     :param entries: The entries that describe a replica.
+    :param complete: Whether these are all; the others are gone then.
     """
 
     entries: tuple[ReplicaEntry, ...]
+    complete: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/bluebellbay/bluebellbay/state/router.py
+++ b/packages/bluebellbay/bluebellbay/state/router.py
@@ -15,6 +15,8 @@
     :param rules: Limits and identity of the node.
     :param rng: The only source of randomness for the core.
     :ivar nodes: Number of nodes that share limits, including this one.
+    :ivar replicas_listed: Whether all replicas were listed once; until then
+        some may be unknown.
     :ivar draining: Whether this node is shutting down.
     :ivar isolated: Whether this node cannot reach other failure domains.
     :ivar last_remote_answer_at: Time in seconds of the last answer from a
@@ -29,6 +31,7 @@
         self.routes = RouteTable()
         self.replicas = ReplicaTable()
         self.peers: dict[str, PeerRecord] = {}
+        self.replicas_listed = False
         self.draining = False
         self.isolated = False
         self.last_remote_answer_at = 0.0
--- a/packages/bluebellbay/bluebellbay/transport/follower.py
+++ b/packages/bluebellbay/bluebellbay/transport/follower.py
@@ -12,18 +12,18 @@
 from bluebellbay.protocol.registry import StoreConnectionLost
 from bluebellbay.protocol.registry import StoreConnectionRestored
 from bluebellbay.protocol.registry import StoreListed
+from bluebellbay.transport._backoff import Backoff
 from bluebellbay.transport.store import HistoryCompacted
 from bluebellbay.transport.store import LeaseExpired
 from bluebellbay.transport.store import StoreClient
-from bluebellbay.transport.store import StoreItems
+from bluebellbay.transport.store import StorePage
 from bluebellbay.transport.store import StoreSchema
 from bluebellbay.transport.store import StoreUnavailable
+from bluebellbay.transport.store_listing import StoreListing
 from bluebellbay.transport.store_pace import StorePace
 from bluebellbay.transport.watch_guard import WatchGuard
 from bluebellbay.transport.wire import RoutingEventHandler
 
-INITIAL_BACKOFF_S = 0.1
-MAX_BACKOFF_S = 0.8
 WATCH_S = 25.0
 LOST_STORE_WATCH_S = 0.1
 LEASE_TTL_S = 30.0
@@ -32,27 +32,14 @@
 ExceptionHandler = Callable[[Exception], None]
 
 
-class _Backoff:
-    def __init__(self, *, reactor: Any, rng: random.Random) -> None:
-        self._reactor = reactor
-        self._rng = rng
-        self._next_delay_s = INITIAL_BACKOFF_S
-
-    def reset(self) -> None:
-        self._next_delay_s = INITIAL_BACKOFF_S
-
-    def wait(self) -> Deferred[None]:
-        seconds = self._next_delay_s * (0.5 + self._rng.random())
-        self._next_delay_s = min(MAX_BACKOFF_S, 2 * self._next_delay_s)
-        return deferLater(self._reactor, seconds)
-
-
 class StoreFollower:
     """Reads all items of the store, then watches for changes.
 
     All items are read again once the store no longer holds the changes since
-    the last revision read, and after an unexpected exception. The node's item
-    is written under a lease, and again under a new one if that expires.
+    the last revision read, and after an unexpected exception. The watch starts
+    with the first page of them, so that a change never waits for a listing,
+    however long it takes. The node's item is written under a lease, and again
+    under a new one if that expires.
 
     :param reactor: Twisted reactor.
     :param client: Makes the calls to the store.
@@ -96,6 +83,8 @@
         self._answered_at: float | None = None
         # Time between the last two answers.
         self._silent_s: float | None = None
+        self._listing: StoreListing | None = None
+        self._listing_task: Deferred[None] | None = None
         self._listing_cause = "start"
         self._listing_failures = 0
         self._tasks: list[Deferred[None]] = []
@@ -112,6 +101,7 @@
         for task in self._tasks:
             task.cancel()
         self._tasks = []
+        self._cancel_listing()
 
     def measure_silence(self) -> float | None:
         """Measure how long the store has not answered a watch or a check.
@@ -123,12 +113,12 @@
         return float(self._reactor.seconds()) - self._answered_at
 
     async def _follow_changes(self) -> None:
-        backoff = _Backoff(reactor=self._reactor, rng=self._rng)
+        backoff = Backoff(reactor=self._reactor, rng=self._rng)
         revision: int | None = None
         while True:
             try:
                 if revision is None:
-                    revision = await self._read_all()
+                    revision = await self._begin_listing()
                 else:
                     revision = await self._read_changes(revision)
                 backoff.reset()
@@ -147,41 +137,61 @@
                 revision = None
                 await backoff.wait()
 
-    async def _read_all(self) -> int:
-        items = await self._list_items()
-        self._report_regained()
-        for event in self._schema.decode_items(items.items):
-            self._report(event)
-        return items.revision
-
-    async def _list_items(self) -> StoreItems:
+    async def _begin_listing(self) -> int:
+        """Read the first page; the others are read during the watch."""
+        self._cancel_listing()
         began_at = self._reactor.seconds()
         try:
-            items = await self._client.list_items()
+            page = await self._client.read_page("")
         except StoreUnavailable as error:
             self._listing_failures += 1
-            self._report_listing(began_at, error=str(error))
+            self._report_failed_listing(began_at, str(error))
             raise
         self._record_answer()
-        self._report_listing(
-            began_at, items=len(items.items), pages=items.pages
+        self._report_regained()
+        self._listing = StoreListing(
+            reactor=self._reactor,
+            client=self._client,
+            schema=self._schema,
+            report=self._report,
+            backoff=Backoff(reactor=self._reactor, rng=self._rng),
+            cause=self._listing_cause,
+            failures=self._listing_failures,
         )
         self._listing_failures = 0
-        return items
+        self._listing_task = Deferred.fromCoroutine(
+            self._finish_listing(self._listing, page)
+        )
+        return page.revision
 
-    def _report_listing(
-        self,
-        began_at: float,
-        *,
-        items: int = 0,
-        pages: int = 0,
-        error: str = "",
+    async def _finish_listing(
+        self, listing: StoreListing, page: StorePage
     ) -> None:
+        backoff = Backoff(reactor=self._reactor, rng=self._rng)
+        while True:
+            try:
+                await listing.read_from(page)
+                break
+            except CancelledError:
+                return
+            except Exception as error:
+                # Without the listing what is gone would be used for ever.
+                self._report_exception(error)
+                await backoff.wait()
+        self._listing = None
+
+    def _cancel_listing(self) -> None:
+        self._listing = None
+        if self._listing_task is not None:
+            self._listing_task.cancel()
+            self._listing_task = None
+
+    def _report_failed_listing(self, began_at: float, error: str) -> None:
         self._report(
             StoreListed(
                 cause=self._listing_cause,
-                items=items,
-                pages=pages,
+                items=0,
+                pages=0,
                 seconds=self._reactor.seconds() - began_at,
                 failures=self._listing_failures,
                 error=error,
@@ -202,7 +212,10 @@
             check_interval_s=self.pace.check_interval_s,
         )
         self._report_regained()
-        for item in changes.items:
+        items = changes.items
+        if self._listing is not None:
+            items = self._listing.add_changes(items)
+        for item in items:
             for event in self._schema.decode_change(item):
                 self._report(event)
         batch_delay_s = self.pace.compute_batch_delay(nodes, changes.items)
@@ -211,7 +224,7 @@
         return max(revision, changes.revision)
 
     async def _maintain_lease(self) -> None:
-        backoff = _Backoff(reactor=self._reactor, rng=self._rng)
+        backoff = Backoff(reactor=self._reactor, rng=self._rng)
         lease: int | None = None
         item = self._schema.encode_node(self._node)
         while True:
--- a/packages/bluebellbay/bluebellbay/transport/store.py
+++ b/packages/bluebellbay/bluebellbay/transport/store.py
@@ -25,35 +25,59 @@
 
     :param key: The key.
     :param value: The value; ``None`` if the key was removed.
+    :param revision: The store's revision when it was written or removed.
     """
 
     key: str
     value: bytes | None
+    revision: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StoreItems:
-    """Items and the store revision they were read at.
+    """Changes and the store revision up to which they were read.
 
-    :param items: The items, or changes in order.
+    :param items: The changes, in order.
     :param revision: Revision after which to watch for changes.
-    :param pages: Number of answers that they were read in.
     """
 
     items: tuple[StoreItem, ...]
     revision: int
-    pages: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StorePage:
+    """One page of a listing of the store.
+
+    :param items: The items, in the order of their keys.
+    :param revision: The store's revision when it was read. Watching after
+        that of the first page also gives what changes during the listing.
+    :param next_after: Key after which the next page begins; ``None`` on the
+        last page.
+    """
+
+    items: tuple[StoreItem, ...]
+    revision: int
+    next_after: str | None = None
 
 
 class StoreClient(abc.ABC):
     """Calls to the store; each raises ``StoreUnavailable`` if it fails."""
 
     @abc.abstractmethod
-    async def list_items(self) -> StoreItems:
-        """Read all items.
+    async def read_page(self, after: str) -> StorePage:
+        """Read one page of all items.
 
-        :returns: All items. Watching after their revision also gives the
-            changes made while they were read.
+        :param after: Key after which the page begins; empty for the first.
+        :returns: The page.
+        """
+
+    @abc.abstractmethod
+    async def read_item(self, key: str) -> StoreItem | None:
+        """Read one item.
+
+        :param key: Its key.
+        :returns: The item, or ``None`` if there is none.
         """
 
     @abc.abstractmethod
@@ -104,13 +128,20 @@
 class StoreSchema(abc.ABC):
     """Converts store items to events and a node to its item."""
 
+    @property
+    @abc.abstractmethod
+    def first_key(self) -> str:
+        """Key of the item that a listing must not keep waiting."""
+
     @abc.abstractmethod
     def decode_items(
-        self, items: tuple[StoreItem, ...]
+        self, items: tuple[StoreItem, ...], *, complete: bool
     ) -> tuple[RoutingEvent, ...]:
-        """Decode all items of the store.
+        """Decode a listing of the store, or a part of it.
 
-        :param items: All items, in any order.
+        :param items: The items, in any order.
+        :param complete: Whether these are all; what else is known is gone
+            then.
         :returns: The events, in the order to report them in.
         """
 
