Answer what is open at the end of a planned stop, and take no late posting

What callers saw, as other operators reported: requests that came late in the grace of a planned stop were passed on and, at its end, cut with no answer, among them such as may not be repeated (LOST).

Cause: requests received after the port was closed (half sent before, ahead of others, or waiting to be accepted) were treated as any other, and at the end of the grace the process stopped with them open.

Mend: the time limit of a request that comes during a stop ends with it; what is still open then is answered 504, or 503 if it ran nowhere; once no caller may connect, what may run once at most is taken only if it can have its whole time limit, else refused at once with a short Retry-After, as other nodes can serve it.

The port is open as long as before.

--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -74,3 +74,13 @@
     And the program receives SIGTERM, SIGHUP and SIGTERM again
     Then every query was answered whole
     And the program exits with code 0
+
+  Scenario: A planned stop cuts off postings that came late in its grace
+    Given a fake store, 4 fake shards and 2 fake posting servers
+    And the program is running and ready, with a grace of 6 s
+    When posting servers take 10 s a posting
+    And the program receives SIGTERM
+    And a posting is sent 2 s later, and half of another one that is whole after 3.3 s
+    Then the first posting is answered 504 as it may have run
+    And the second posting is answered 503 within 1 s and ran nowhere
+    And the program exits with code 0
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -24,6 +24,14 @@
     check_ready(context)
 
 
+@behave.given(
+    "the program is running and ready, with a grace of {seconds:d} s"
+)
+def step_start_program_with_grace(context, seconds):
+    context.platform.program.start(grace_s=seconds)
+    check_ready(context)
+
+
 @behave.given("the program is running but not ready")
 def step_start_program_not_ready(context):
     platform = context.platform
--- a/features/steps/platform_stop_steps.py
+++ b/features/steps/platform_stop_steps.py
@@ -132,3 +132,59 @@
         assert not caller.faults, caller.faults[:3]
         assert caller.answered
     print(sum(caller.answered for caller in context.callers), "answered")
+
+
+def build_posting(number):
+    return (
+        b"POST /post/%d HTTP/1.1\r\nHost: %s\r\n"
+        b"Bluebellbay-Request-Id: late-%d\r\nContent-Length: 4\r\n"
+        b"Bluebellbay-Deadline-Ms: 5000\r\n\r\nbody"
+    ) % (number, HOST.encode(), number)
+
+
+@behave.when("posting servers take {seconds:d} s a posting")
+def delay_postings(context, seconds):
+    for server in context.platform.posting_servers:
+        server.delay_s = seconds
+
+
+@behave.when(
+    "a posting is sent {first_s:g} s later, and half of another one that is "
+    "whole after {second_s:g} s"
+)
+def send_late_postings(context, first_s, second_s):
+    stopped_at = time.monotonic()
+    port = context.platform.program.ports[0]
+    sleep_until(stopped_at + first_s)
+    context.late = [connect(port), connect(port)]
+    context.late[0].sendall(build_posting(1))
+    posting = build_posting(2)
+    context.late[1].sendall(posting[:40])
+    sleep_until(stopped_at + second_s)
+    context.late[1].sendall(posting[40:])
+    context.sent_at = time.monotonic()
+
+
+@behave.then("the first posting is answered {status:d} as it may have run")
+def check_first_posting(context, status):
+    # The second one is read first, as it is due sooner.
+    context.second_line = context.late[1].makefile("rb").readline()
+    context.second_took_s = time.monotonic() - context.sent_at
+    line = context.late[0].makefile("rb").readline()
+    assert line.split()[1:2] == [b"%d" % status], line
+
+
+@behave.then(
+    "the second posting is answered {status:d} within {seconds:g} s and ran "
+    "nowhere"
+)
+def check_second_posting(context, status, seconds):
+    line = context.second_line
+    assert line.split()[1:2] == [b"%d" % status], line
+    assert context.second_took_s < seconds, context.second_took_s
+    ran = [
+        path
+        for server in context.platform.posting_servers
+        for _, path, _ in server.ran
+    ]
+    assert ran == ["/post/1"], ran
--- a/features/steps/platform_world.py
+++ b/features/steps/platform_world.py
@@ -346,7 +346,7 @@
         self._settings = pathlib.Path(folder) / f"{name}.toml"
         self._store_port = store_port
 
-    def write_settings(self, *, store=True, slack=58):
+    def write_settings(self, *, store=True, slack=58, grace_s=20):
         callers, health, peers, _ = self.ports
         text = f"""
 node-name = "{self.name}"
@@ -358,7 +358,7 @@
 front = "{LOOPBACK}:{callers}"
 readiness = "{LOOPBACK}:{health}"
 [bounds]
-grace-s = 20
+grace-s = {grace_s}
 retry-budget-slack = {slack}
 [platform]
 """
--- a/packages/bluebellbay/bluebellbay/coordination/routing/exchange.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/exchange.py
@@ -12,6 +12,7 @@
 from bluebellbay.coordination.routing.scatter import ScatterTask
 from bluebellbay.coordination.routing.startup import StartupQueue
 from bluebellbay.coordination.routing.task import Arrival
+from bluebellbay.coordination.routing.task import OTHER_NODE_RETRY_AFTER_S
 from bluebellbay.coordination.routing.task import RequestTask
 from bluebellbay.coordination.routing.task import RETRY_AFTER_S
 from bluebellbay.coordination.routing.weighted_round_robin import (
@@ -68,6 +69,16 @@
         self._remove_finished()
         return len(self._tasks) + len(self._startup)
 
+    def end_all(self, now: float) -> None:
+        """Answer all requests in progress that they have timed out.
+
+        :param now: Current Unix time in seconds.
+        """
+        for task in tuple(self._tasks.values()):
+            if not task.finished:
+                task.fail(RoutingErrorKind.TIMED_OUT, now)
+        self._remove_finished()
+
     def get_wakeup_time(self) -> float | None:
         """Return the time of the next wake-up, if one is scheduled."""
         times = (self.context.timers.get_next_time(), self._startup.get_end())
@@ -106,6 +117,13 @@
         if route is None:
             self._refuse(event, RoutingErrorKind.NO_ROUTE)
             return
+        if self._comes_too_late(event, route, now):
+            self._refuse(
+                event,
+                RoutingErrorKind.REFUSED,
+                retry_after_s=OTHER_NODE_RETRY_AFTER_S,
+            )
+            return
         task = self._build_task(
             Arrival(
                 context=self.context,
@@ -141,6 +159,23 @@
         self._tasks[event.exchange] = task
         task.resume(event, now)
 
+    def _comes_too_late(
+        self, event: ExchangeOpened, route: Route, now: float
+    ) -> bool:
+        """Tell whether the end of the process could cut a request off.
+
+        What may run at most once can't be repeated then; other nodes can
+        still take it.
+        """
+        stop_by = self.state.stop_by
+        if self.state.takes_callers or route.idempotent or stop_by is None:
+            return False
+        patience_s = event.request.patience_s
+        limit_s = route.timeout_s
+        if patience_s is not None:
+            limit_s = min(limit_s, patience_s)
+        return now - event.age_s + limit_s > stop_by
+
     def _accepts_delegation(
         self, terms: DelegationTerms | None, route: Route | None
     ) -> bool:
@@ -167,13 +202,18 @@
             )
         return ScatterTask(arrival=arrival, rule=rule)
 
-    def _refuse(self, event: ExchangeOpened, kind: RoutingErrorKind) -> None:
+    def _refuse(
+        self,
+        event: ExchangeOpened,
+        kind: RoutingErrorKind,
+        retry_after_s: float = RETRY_AFTER_S,
+    ) -> None:
         self.context.emit(
             ErrorAnswer(
                 exchange=event.exchange,
                 kind=kind,
                 ran=False,
-                retry_after_s=RETRY_AFTER_S,
+                retry_after_s=retry_after_s,
             )
         )
         self.context.log(
--- a/packages/bluebellbay/bluebellbay/coordination/routing/lifecycle.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/lifecycle.py
@@ -31,7 +31,8 @@
 
     A shutdown lets the balancer take the node out first. Then no further
     connections are accepted, and the process stops once those of callers are
-    closed, each after its last answer, and all requests have ended.
+    closed, each after its last answer, and all requests have ended. What is
+    open at the end of the grace period is answered then.
 
     :param context: State and services shared by all requests of the node.
     :param exchanges: Counts the requests in progress.
@@ -46,9 +47,7 @@
         super().__init__(context=context)
         self._exchanges = exchanges
         self._ready = False
-        self._shutdown_at: float | None = None
         self._check_at: float | None = None
-        self._draining_callers = False
         self._callers_drained = False
 
     def list_handlers(self) -> EventHandlers:
@@ -127,33 +126,32 @@
         return False
 
     def _begin_shutdown(self, now: float) -> None:
-        if self._shutdown_at is not None:
+        if self.state.stop_by is not None:
             return
-        self._shutdown_at = now
         self._check_at = now + BALANCER_LAG_S
         self.state.draining = True
+        self.state.stop_by = now + self.state.rules.grace_s - FLUSH_RESERVE_S
         self.context.log(
             "Shutting down once open requests have ended.",
             open_requests=self._exchanges.open_count,
         )
 
     def _stop_if_done(self, now: float) -> None:
-        if self._shutdown_at is None or self._check_at is None:
+        stop_by = self.state.stop_by
+        if stop_by is None or self._check_at is None:
             return
         open_count = self._exchanges.open_count
-        if not self._draining_callers:
-            self._draining_callers = True
+        if self.state.takes_callers:
+            self.state.takes_callers = False
             self.context.log(
                 "Accepting no further connections.", open_requests=open_count
             )
             self.context.emit(DrainCallers())
-        stop_by = (
-            self._shutdown_at + self.state.rules.grace_s - FLUSH_RESERVE_S
-        )
         done = self._callers_drained and not open_count
         if not done and now < stop_by:
             self._check_at = now + CHECK_INTERVAL_S
             return
         self._check_at = None
         self.context.log("Stopping the process.", open_requests=open_count)
+        self._exchanges.end_all(now)
         self.context.emit(StopProcess())
--- a/packages/bluebellbay/bluebellbay/coordination/routing/task.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/task.py
@@ -17,8 +17,8 @@
 # Time for an error to reach the caller before the caller times out.
 ERROR_DELIVERY_S = 0.010
 RETRY_AFTER_S = 0.2
-# An isolated node cannot help, but other nodes can at once.
-ISOLATED_RETRY_AFTER_S = 0.01
+# A node that is isolated or stops cannot help, but other nodes can at once.
+OTHER_NODE_RETRY_AFTER_S = 0.01
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -66,6 +66,9 @@
         if patience_s is not None:
             time_limit_s = min(time_limit_s, patience_s - ERROR_DELIVERY_S)
         self.deadline = sent_at + time_limit_s
+        stop_by = arrival.context.state.stop_by
+        if stop_by is not None:
+            self.deadline = min(self.deadline, stop_by)
         self.objective_at = (
             sent_at + route.objective_s - opened.return_s - ANSWER_DELAY_S
         )
@@ -158,7 +161,7 @@
             kind=kind,
             ran=ran,
             retry_after_s=(
-                ISOLATED_RETRY_AFTER_S
+                OTHER_NODE_RETRY_AFTER_S
                 if self.context.state.isolated
                 else RETRY_AFTER_S
             ),
--- a/packages/bluebellbay/bluebellbay/state/router.py
+++ b/packages/bluebellbay/bluebellbay/state/router.py
@@ -18,6 +18,9 @@
     :ivar replicas_listed: Whether all replicas were listed once; until then
         some may be unknown.
     :ivar draining: Whether this node is shutting down.
+    :ivar stop_by: Unix time in seconds when a node that is shutting down
+        answers what is still open; ``None`` on others.
+    :ivar takes_callers: Whether callers may still open connections.
     :ivar isolated: Whether this node cannot reach other failure domains.
     :ivar last_remote_answer_at: Time in seconds of the last answer from a
         replica in another failure domain.
@@ -33,6 +36,8 @@
         self.peers: dict[str, PeerRecord] = {}
         self.replicas_listed = False
         self.draining = False
+        self.stop_by: float | None = None
+        self.takes_callers = True
         self.isolated = False
         self.last_remote_answer_at = 0.0
 
