Write a request's id once on a connection, so that no copy answers a later send

Cause: an answer was matched by the caller's id, which names all sends of a request alike. The pool wrote the next send on the connection on which the refusal had come, and so the copy was taken for its answer. An answer without an id was taken until the connection had had one with it.

Mend: a pool writes calls with the same key on different connections, and opens one in place of an idle one if it has no other; an answer without an id counts for a connection's first call only.

Weighed: an id of our own can't be sent, as replicas echo the caller's; no reuse after a refusal leaves copies of other answers; a fresh connection for each unsafe send costs a handshake a request.

--- a/features/misbehaviour.feature
+++ b/features/misbehaviour.feature
@@ -30,6 +30,23 @@
       | before the right response, without an id      |
       | between the requests, without an id           |
 
+  Scenario Outline: A request runs twice after a late copy of an answer: <answer>, <method>, <id>
+    Given a link to a scripted replica
+    Then a copy of <answer> to a <method> request, <id>, at any later point of its connection, is never taken for the answer to another send
+
+    Examples:
+      | answer     | method | id            |
+      | a refusal  | POST   | with its id   |
+      | a refusal  | POST   | without an id |
+      | a refusal  | GET    | with its id   |
+      | a refusal  | GET    | without an id |
+      | status 421 | POST   | with its id   |
+      | status 421 | POST   | without an id |
+      | status 500 | POST   | with its id   |
+      | status 500 | GET    | with its id   |
+      | a success  | POST   | with its id   |
+      | a success  | GET    | with its id   |
+
   Scenario Outline: Bytes without end are cut off: <bytes>
     Given a link to a scripted replica
     When a request is answered with <bytes> without end
--- a/features/steps/_scripted_server.py
+++ b/features/steps/_scripted_server.py
@@ -78,6 +78,10 @@
         self.body = body
         self.headers = headers
 
+    def is_on_connection_of(self, other):
+        """Tell whether it came on the connection of another request."""
+        return self._connection is other._connection
+
     def send(self, data):
         self._connection.sendall(data)
 
--- a/features/steps/misbehaviour_steps.py
+++ b/features/steps/misbehaviour_steps.py
@@ -110,6 +110,23 @@
         )
         call_in_reactor(self.link.send, command)
 
+    def send_request(self, request_id, method):
+        """Send a request whose id may have been sent before."""
+        self._attempts += 1
+        request = dataclasses.replace(
+            build_request("route", method=method),
+            request_id=request_id.decode(),
+            forwarded=b"Bluebellbay-Request-Id: %s\r\n" % request_id,
+        )
+        command = SendAttempt(
+            attempt=self._attempts,
+            request=request,
+            replica=self.entries[0],
+            deadline_s=DEADLINE_S,
+        )
+        call_in_reactor(self.link.send, command)
+        return self.receive()
+
     def receive(self, replica=0):
         return self.servers[replica].receive_request()
 
@@ -221,6 +238,52 @@
         assert isinstance(event, AttemptFailed), event
 
 
+ANSWER_HEADS = {
+    "a refusal": b"HTTP/1.1 503 Full\r\nBluebellbay-Not-Executed: 1\r\n",
+    "status 421": b"HTTP/1.1 421 Other\r\n",
+    "status 500": (
+        b"HTTP/1.1 500 Error\r\nBluebellbay-Response-Signature: s\r\n"
+    ),
+    "a success": OK_LINE + b"Bluebellbay-Response-Signature: s\r\n",
+}
+
+
+@behave.then(
+    "a copy of {answer} to a {method} request, {id_}, at any later point of "
+    "its connection, is never taken for the answer to another send"
+)
+def check_copies(context, answer, method, id_):
+    world = context.wire
+    method = method.encode()
+    for requests_between in range(3):
+        for sends_again in (True, False):
+            name = b"%d-%d" % (requests_between, sends_again)
+            echo = b"Bluebellbay-Request-Id: %s\r\n" % name
+            copy = ANSWER_HEADS[answer] + (
+                echo if id_ == "with its id" else b""
+            )
+            copy += b"Content-Length: 5\r\n\r\nfirst"
+            first = world.send_request(name, method)
+            first.send(copy)
+            world.events.wait_for_event()
+            for number in range(requests_between):
+                other = b"%s-other-%d" % (name, number)
+                received = world.send_request(other, method)
+                received.send(build_reply(other, b"other"))
+                world.events.wait_for_event()
+            last = name if sends_again else name + b"-last"
+            received = world.send_request(last, method)
+            if received.is_on_connection_of(first):
+                received.send(copy)
+            received.send(build_reply(last, b"right"))
+            event = world.events.wait_for_event()
+            if isinstance(event, AttemptReplied):
+                assert event.reply.body == b"right", event
+            else:
+                assert isinstance(event, AttemptFailed), event
+                assert event.sent
+
+
 @behave.when("a request is answered with {bytes_} without end")
 def answer_without_end(context, bytes_):
     start, block = ENDLESS[bytes_]
--- a/features/steps/platform_world.py
+++ b/features/steps/platform_world.py
@@ -282,11 +282,12 @@
     def _handle(self, request):
         body = request.read_body()
         headers = request.headers
+        echo = {"Bluebellbay_Request_Id": headers["Bluebellbay-Request-Id"]}
         if headers["Bluebellbay-Target-Instance"] != self.replica_id:
-            request.answer(421)
+            request.answer(421, **echo)
             return
         if self.mode == "refuse":
-            request.answer(503, Bluebellbay_Not_Executed="1")
+            request.answer(503, Bluebellbay_Not_Executed="1", **echo)
             return
         self.ran.append((request.command, request.path, body))
         time.sleep(self.delay_s)
@@ -294,7 +295,7 @@
             request.close_connection = True
             return
         headers = {
-            "Bluebellbay_Request_Id": headers["Bluebellbay-Request-Id"],
+            **echo,
             "Bluebellbay_Response_Signature": f"digest-{self.replica_id}",
         }
         if self.mode == "serve":
--- a/packages/bluebellbay/bluebellbay/transport/connection.py
+++ b/packages/bluebellbay/bluebellbay/transport/connection.py
@@ -19,6 +19,8 @@
 MAX_HEAD_BYTES = 65_536
 MAX_HEADERS = 256
 FIRST_FINAL_STATUS = 200
+# Fewer keys are kept without looking for those that have ended.
+MIN_KEYS_TO_FORGET = 64
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 # The kernel closes a connection with data unacknowledged for this time.
@@ -79,7 +81,8 @@
         connection. It is complete only if the server closes it cleanly.
     :param match: Decides by its headers whether a response is to this call.
         A response to another call is read and discarded. One that names no
-        request is accepted until the connection has received one that does.
+        request is accepted for the first call of a connection only, as it
+        can't be told from a late copy of an earlier one.
     :param max_body_bytes: Largest body.
     """
 
@@ -124,7 +127,9 @@
         self._body_grew = False
         self._in_body = False
         self._mismatched = False
-        self._names_requests = False
+        self._calls = 0
+        # Keys of the calls, with the time when each is no longer repeated.
+        self._keys: dict[bytes, float] = {}
         self._fault = ""
         self._response: CallAnswered | None = None
         self._keep_alive = False
@@ -148,6 +153,28 @@
         ):
             handle.setsockopt(socket.IPPROTO_TCP, option, value)
 
+    def has_carried(self, key: bytes) -> bool:
+        """Tell whether a call with a key was written on this connection.
+
+        :param key: The key; empty for calls that have none.
+        """
+        return key in self._keys
+
+    def note_key(self, key: bytes, *, now: float, until: float) -> None:
+        """Remember the key of the next call.
+
+        :param key: The key; empty for calls that have none.
+        :param now: Current time in seconds; keys from before are forgotten.
+        :param until: Time in seconds from which it is not written again.
+        """
+        if not key:
+            return
+        if len(self._keys) >= MIN_KEYS_TO_FORGET:
+            self._keys = {
+                known: end for known, end in self._keys.items() if end > now
+            }
+        self._keys[key] = until
+
     def run_call(
         self,
         request: bytes,
@@ -164,6 +191,7 @@
         """
         self._report = report
         self._form = form
+        self._calls += 1
         self._other_bytes = 0
         self.transport.write(request)
 
@@ -259,11 +287,9 @@
         if self._form.match is None or self._response is not None:
             return
         match = self._form.match(tuple(self._headers))
-        if match is ResponseMatch.SAME:
-            self._names_requests = True
-        elif match is ResponseMatch.OTHER:
+        if match is ResponseMatch.OTHER:
             self._mismatched = True
-        elif self._names_requests:
+        elif match is ResponseMatch.UNNAMED and self._calls > 1:
             self._fault = "response names no request"
 
     def _count_other_bytes(self, size: int) -> None:
--- a/packages/bluebellbay/bluebellbay/transport/pool.py
+++ b/packages/bluebellbay/bluebellbay/transport/pool.py
@@ -43,6 +43,9 @@
     :param form: How the response is delimited and recognized.
     :param max_idle_s: Longest idle time in seconds of a connection that the
         call may be written on.
+    :param key: Names what is asked. Calls with the same key are written on
+        different connections, as a late copy of the response to one would be
+        taken for the response to the next.
     """
 
     timeout_s: float
@@ -54,6 +57,7 @@
     build_request: Callable[[], bytes] | None = None
     form: ResponseForm = DEFAULT_FORM
     max_idle_s: float | None = None
+    key: bytes = b""
     timer: DelayedCall | None = None
     connection: Connection | None = None
     ended: bool = False
@@ -231,14 +235,26 @@
 
     def _pop_reusable(self, call: PooledCall) -> Connection | None:
         now = self._reactor.seconds()
-        while self._idle:
+        carriers = []
+        found = None
+        while self._idle and found is None:
             connection = self._idle.pop()
-            idle_s = now - connection.idle_since
-            if _is_reusable(call, connection, idle_s):
-                return connection
-            self._closing.add(connection)
-            connection.transport.loseConnection()
-        return None
+            if not _is_reusable(call, connection, now - connection.idle_since):
+                self._close(connection)
+            elif connection.has_carried(call.key):
+                carriers.append(connection)
+            else:
+                found = connection
+        self._idle.extend(reversed(carriers))
+        staying = len(self._open) - len(self._closing)
+        if found is None and carriers and staying >= self._limit:
+            # Makes room for a connection that has not carried this call.
+            self._close(self._idle.pop(0))
+        return found
+
+    def _close(self, connection: Connection) -> None:
+        self._closing.add(connection)
+        connection.transport.loseConnection()
 
     def _fail_waiting(self, reason: str) -> None:
         while self._waiting:
@@ -255,8 +271,7 @@
         excess = self.size - len(self._closing) - self._limit
         for connection in self._idle[: max(0, excess)]:
             self._idle.remove(connection)
-            self._closing.add(connection)
-            connection.transport.loseConnection()
+            self._close(connection)
 
     def _open_connection(self) -> None:
         factory = Factory.forProtocol(
@@ -303,6 +318,8 @@
             self._end_call(call, end)
             return
         call.connection = connection
+        now = self._reactor.seconds()
+        connection.note_key(call.key, now=now, until=now + call.timeout_s)
         connection.run_call(
             request, lambda end: self._end_call(call, end), call.form
         )
--- a/packages/bluebellbay/bluebellbay/transport/replica.py
+++ b/packages/bluebellbay/bluebellbay/transport/replica.py
@@ -77,6 +77,7 @@
             timeout_s=max(0.001, command.deadline_s),
             report=lambda end: self._report_end(command, end),
             build_request=build_request,
+            key=request.request_id.encode(),
             form=ResponseForm(
                 no_body=request.method == b"HEAD",
                 read_until_close=True,
