Write a node's key again under its lease if the first write failed

What others saw: a node whose first write failed renewed a lease that held nothing, so it was never listed, and the other nodes divided limits and retry slack by too few.

Cause: having a lease was taken for having written under it. Before: the scenario failed, no write after the first. After: it passes.

--- a/features/follower.feature
+++ b/features/follower.feature
@@ -37,6 +37,12 @@
     When its lease expires
     Then the node's key was written under another lease
 
+  Scenario: A node is never listed as the first write of its key failed
+    Given a store that fails the next write
+    And a follower of a store at revision 5
+    When the lease is due for renewal
+    Then the node's key was written under a lease
+
   Scenario: Many nodes make fewer calls each
     Given a follower of a store at revision 5
     Then the delay after a change is 0.1 s with 1 node and 1.2 s with 36
--- a/features/steps/follower_steps.py
+++ b/features/steps/follower_steps.py
@@ -39,6 +39,7 @@
         self.read_failure = None
         self.reads = 0
         self.puts = []
+        self.fails_next_put = False
         self.lease = 0
         self.lease_expired = False
         self.renewal_failure = None
@@ -77,6 +78,9 @@
             raise LeaseExpired
 
     async def put(self, key, value, lease):
+        if self.fails_next_put:
+            self.fails_next_put = False
+            raise StoreUnavailable("refused")
         self.puts.append((key, lease))
 
 
@@ -99,6 +103,7 @@
 def start_follower(context, revision):
     context.clock = Clock()
     context.store = FakeStore(revision)
+    context.store.fails_next_put = getattr(context, "fails_next_put", False)
     context.events = []
     context.exceptions = []
     context.nodes = 1
@@ -213,6 +218,16 @@
     assert context.store.puts == [("n", 1)]
 
 
+@behave.given("a store that fails the next write")
+def fail_next_write(context):
+    context.fails_next_put = True
+
+
+@behave.when("the lease is due for renewal")
+def wait_for_renewal(context):
+    advance_clock(context, LEASE_RENEWAL_TIME_S)
+
+
 @behave.when("its lease expires")
 def expire_lease(context):
     context.store.lease_expired = True
--- a/packages/bluebellbay/bluebellbay/transport/follower.py
+++ b/packages/bluebellbay/bluebellbay/transport/follower.py
@@ -226,14 +226,18 @@
     async def _maintain_lease(self) -> None:
         backoff = Backoff(reactor=self._reactor, rng=self._rng)
         lease: int | None = None
+        written = False
         item = self._schema.encode_node(self._node)
         while True:
             try:
                 if lease is None:
+                    written = False
                     lease = await self._client.open_lease(LEASE_TTL_S)
-                    await self._client.put(item.key, item.value or b"", lease)
-                else:
+                if written:
                     await self._client.renew_lease(lease)
+                else:
+                    await self._client.put(item.key, item.value or b"", lease)
+                    written = True
                 backoff.reset()
                 await deferLater(
                     self._reactor, LEASE_TTL_S / RENEWALS_PER_LEASE
