Take a deadline of many digits for none

What callers saw: a connection closed without an answer after a Bluebellbay-Deadline-Ms of some hundreds of digits, as its conversion raised an error that nothing expects.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -21,6 +21,15 @@
   Scenario: Settings that can't be used end the program with exit code 2
     Then the error names the field that is missing or has the wrong type
 
+  Scenario Outline: A deadline of many digits closes the connection: <digits>
+    Then a request with a deadline of <digits> digits has none
+
+    Examples:
+      | digits |
+      | 20     |
+      | 400    |
+      | 5000   |
+
   Scenario: Headers of one connection stay on it
     Then a replica's answer is forwarded without its hop-by-hop headers
 
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -17,6 +17,7 @@
 from bluebellbay.protocol.registry import ReplicaUpdated
 from bluebellbay.transport.connection import CallAnswered
 from bluebellbay.transport.store import StoreItem
+from bluebellbay.transport.wire import RequestHead
 import bluebellbay_platform
 from bluebellbay_platform.configuration import decode_configuration
 from bluebellbay_platform.replica import decode_replica
@@ -406,3 +407,18 @@
     written = PlatformWire().encode_answer(answer, close=False)
     assert written.startswith(b"HTTP/1.1 %d " % status), written
     assert (b"Retry-After: 0.25" in written) == (status in (502, 503))
+
+
+@behave.then("a request with a deadline of {digits:d} digits has none")
+def check_long_deadline(context, digits):
+    del context
+    head = RequestHead(
+        method=b"GET",
+        target=b"/",
+        headers=(
+            (b"host", b"h"),
+            (b"bluebellbay-request-id", b"id"),
+            (b"bluebellbay-deadline-ms", b"9" * digits),
+        ),
+    )
+    assert PlatformWire().decode_request(head, b"").patience_s is None
