--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -97,3 +97,7 @@
       | mode                    |
       | send without end        |
       | send a body without end |
+
+  Scenario: A SIGHUP while the program starts ends it
+    Given a program whose start is interrupted by SIGHUP while it imports
+    Then it checks its settings and exits with code 0
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -332,3 +332,34 @@
         if line.startswith("VmHWM:"):
             return int(line.split()[1])
     raise AssertionError(status)
+
+
+# Python imports a module of this name at its start.
+SIGNALLING_MODULE = """
+import os, signal, sys
+
+class Hook:
+    def find_spec(self, name, path=None, target=None):
+        if name == "twisted":
+            sys.meta_path.remove(self)
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, Hook())
+"""
+
+
+@behave.given(
+    "a program whose start is interrupted by SIGHUP while it imports"
+)
+def start_interrupted(context):
+    step_create_world(context)
+    program = context.platform.program
+    program.write_settings()
+    folder = pathlib.Path(context.platform.folder.name)
+    (folder / "sitecustomize.py").write_text(SIGNALLING_MODULE)
+    context.exit_code = program.check_settings({"PYTHONPATH": str(folder)})
+
+
+@behave.then("it checks its settings and exits with code 0")
+def check_not_ended(context):
+    assert context.exit_code == 0, context.exit_code
--- a/features/steps/platform_world.py
+++ b/features/steps/platform_world.py
@@ -375,21 +375,34 @@
 
     def start(self, **settings):
         self.write_settings(**settings)
-        environment = {
-            **os.environ,
-            "BLUEBELLBAY_BOOT": str(self._settings),
-        }
-        command = [
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                self._build_command(),
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env=self._build_environment(),
+            )
+
+    def check_settings(self, environment):
+        """Let the program check its settings, and return its exit code."""
+        return subprocess.run(
+            [*self._build_command(), "--check-settings"],
+            env=self._build_environment() | environment,
+            check=False,
+            timeout=STEP_TIMEOUT_S,
+        ).returncode
+
+    def _build_command(self):
+        return [
             sys.executable,
             "-m",
             "bluebellbay_platform",
             "--metrics-port",
             str(self.ports[3]),
         ]
-        with self.log.open("ab") as log:
-            self.process = subprocess.Popen(
-                command, stdout=log, stderr=subprocess.STDOUT, env=environment
-            )
+
+    def _build_environment(self):
+        return {**os.environ, "BLUEBELLBAY_BOOT": str(self._settings)}
 
     def kill(self):
         if self.process is not None and self.process.poll() is None:
