Part the fakes and the run's record from the program in the tests

Each has a module now; the store with faults shares the loop that waits for changes, and raw requests have one builder. No check changes.

--- a/features/steps/faulty_store.py
+++ b/features/steps/faulty_store.py
@@ -6,7 +6,7 @@
 from urllib.parse import parse_qs
 from urllib.parse import urlsplit
 
-from platform_world import FakeStore
+from fake_platform import FakeStore
 
 SILENCE_S = 60.0
 UNAVAILABLE = 503
@@ -114,16 +114,5 @@
                 "store-revision": self.revision,
             }
 
-    def _wait_for_events(self, after, wait_s):
-        def list_newer_events():
-            return [item for item in self._events if item["revision"] > after]
-
-        with self._changed:
-            self._changed.wait_for(
-                lambda: list_newer_events() or after < self._gone_revision,
-                timeout=wait_s,
-            )
-            return {
-                "events": list_newer_events(),
-                "store-revision": self.revision,
-            }
+    def _ends_watch(self, after):
+        return after < self._gone_revision
--- a/features/steps/platform_stop_steps.py
+++ b/features/steps/platform_stop_steps.py
@@ -7,8 +7,8 @@
 import time
 
 import behave
+from fake_platform import LOOPBACK
 from platform_world import HOST
-from platform_world import LOOPBACK
 from platform_world import STEP_TIMEOUT_S
 
 # The balancer opens no more connections from then on.
@@ -18,11 +18,22 @@
 
 
 def build_query(number):
+    return build_request(b"GET /query/%d" % number, b"stop-%d" % number)
+
+
+def build_posting(number):
+    return build_request(
+        b"POST /post/%d" % number,
+        b"late-%d" % number,
+        b"Content-Length: 4\r\n\r\nbody",
+    )
+
+
+def build_request(target, request_id, rest=b"\r\n"):
     return (
-        b"GET /query/%d HTTP/1.1\r\nHost: %s\r\n"
-        b"Bluebellbay-Request-Id: stop-%d\r\n"
-        b"Bluebellbay-Deadline-Ms: 5000\r\n\r\n"
-    ) % (number, HOST.encode(), number)
+        b"%s HTTP/1.1\r\nHost: %s\r\nBluebellbay-Request-Id: %s\r\n"
+        b"Bluebellbay-Deadline-Ms: 5000\r\n%s"
+    ) % (target, HOST.encode(), request_id, rest)
 
 
 class StoppedCaller(threading.Thread):
@@ -134,14 +145,6 @@
     print(sum(caller.answered for caller in context.callers), "answered")
 
 
-def build_posting(number):
-    return (
-        b"POST /post/%d HTTP/1.1\r\nHost: %s\r\n"
-        b"Bluebellbay-Request-Id: late-%d\r\nContent-Length: 4\r\n"
-        b"Bluebellbay-Deadline-Ms: 5000\r\n\r\nbody"
-    ) % (number, HOST.encode(), number)
-
-
 @behave.when("posting servers take {seconds:d} s a posting")
 def delay_postings(context, seconds):
     for server in context.platform.posting_servers:
--- a/features/steps/report_steps.py
+++ b/features/steps/report_steps.py
@@ -8,7 +8,7 @@
 import time
 
 import behave
-from platform_world import RunLog
+from run_log import RunLog
 
 from bluebellbay_report.__main__ import main
 
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -19,11 +19,11 @@
 import threading
 import time
 
-from platform_world import MISBEHAVIOURS
-from platform_world import NOT_EXECUTED_STATUSES
+from fake_platform import MISBEHAVIOURS
 from platform_world import PlatformWorld
-from platform_world import RunLog
 from platform_world import wait_for
+from run_log import NOT_EXECUTED_STATUSES
+from run_log import RunLog
 
 CALLER_COUNT = 4
 RECOVERY_TIMEOUT_S = 20.0
--- a/features/steps/store_age_steps.py
+++ b/features/steps/store_age_steps.py
@@ -6,8 +6,8 @@
 
 from _reactor_thread import call_in_reactor
 import behave
+from fake_platform import LOOPBACK
 from faulty_store import FaultyStore
-from platform_world import LOOPBACK
 from platform_world import wait_for
 from routing_harness import build_configuration
 from routing_harness import build_replica
