Begin the pauses between store calls anew once history is gone

An answer it is.

Before: the scenario failed, one read in 0.15 s. What chance does with pauses that grow remains; shorter ones would cost calls.

--- a/features/follower.feature
+++ b/features/follower.feature
@@ -12,6 +12,12 @@
     Then it has read all items and watches after 20
     And the store was not reported as lost
 
+  Scenario: Pauses between calls stay long although the store has answered
+    Given a follower of a store at revision 5
+    When the watch fails 5 times
+    And the history is gone and the next page is refused
+    Then the page is read again within 0.15 s
+
   Scenario: A store that does not answer is lost, and regained before changes
     Given a follower of a store at revision 5
     When the watch fails 3 times
--- a/features/steps/follower_steps.py
+++ b/features/steps/follower_steps.py
@@ -40,6 +40,7 @@
         self.reads = 0
         self.puts = []
         self.fails_next_put = False
+        self.fails_next_page = False
         self.lease = 0
         self.lease_expired = False
         self.renewal_failure = None
@@ -47,6 +48,9 @@
 
     async def read_page(self, after):
         self.listed_revisions.append(self.revision)
+        if self.fails_next_page:
+            self.fails_next_page = False
+            raise StoreUnavailable("refused")
         return StorePage(items=(), revision=self.revision)
 
     async def read_item(self, key):
@@ -169,6 +173,20 @@
     advance_clock(context)
 
 
+@behave.when("the history is gone and the next page is refused")
+def refuse_page(context):
+    context.store.fails_next_page = True
+    context.listings = len(context.store.listed_revisions)
+    context.store.pending_watch.errback(HistoryCompacted())
+
+
+@behave.then("the page is read again within {seconds:g} s")
+def check_page_read_again(context, seconds):
+    context.clock.advance(seconds)
+    listings = len(context.store.listed_revisions) - context.listings
+    assert listings == 2, listings
+
+
 @behave.then("the store was not reported as lost")
 def check_not_lost(context):
     assert not any(
--- a/packages/bluebellbay/bluebellbay/transport/follower.py
+++ b/packages/bluebellbay/bluebellbay/transport/follower.py
@@ -123,6 +123,8 @@
                     revision = await self._read_changes(revision)
                 backoff.reset()
             except HistoryCompacted:
+                # The store has answered, and may be refusing a part of calls.
+                backoff.reset()
                 self._listing_cause = "history gone"
                 revision = None
             except StoreUnavailable as error:
