Let one listing own its first page, and drop state that is derived

- The first page of a listing, its failures and its cause were kept by the follower, which built the same report as the listing does.
The listing has them now.
So its 'ms' includes the first page, as its field says; before, a listing of one page took 0.
- That a node shuts down follows from its time to stop.
- The pool looks for a connection in one pass without lists of its own, and a log line without a request is not searched for an error.

--- a/packages/bluebellbay/bluebellbay/coordination/routing/lifecycle.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/lifecycle.py
@@ -126,10 +126,9 @@
         return False
 
     def _begin_shutdown(self, now: float) -> None:
-        if self.state.stop_by is not None:
+        if self.state.draining:
             return
         self._check_at = now + BALANCER_LAG_S
-        self.state.draining = True
         self.state.stop_by = now + self.state.rules.grace_s - FLUSH_RESERVE_S
         self.context.log(
             "Shutting down once open requests have ended.",
--- a/packages/bluebellbay/bluebellbay/state/router.py
+++ b/packages/bluebellbay/bluebellbay/state/router.py
@@ -17,7 +17,6 @@
     :ivar nodes: Number of nodes that share limits, including this one.
     :ivar replicas_listed: Whether all replicas were listed once; until then
         some may be unknown.
-    :ivar draining: Whether this node is shutting down.
     :ivar stop_by: Unix time in seconds when a node that is shutting down
         answers what is still open; ``None`` on others.
     :ivar takes_callers: Whether callers may still open connections.
@@ -35,12 +34,16 @@
         self.replicas = ReplicaTable()
         self.peers: dict[str, PeerRecord] = {}
         self.replicas_listed = False
-        self.draining = False
         self.stop_by: float | None = None
         self.takes_callers = True
         self.isolated = False
         self.last_remote_answer_at = 0.0
 
+    @property
+    def draining(self) -> bool:
+        """Whether this node is shutting down."""
+        return self.stop_by is not None
+
     def is_remote(self, record: ReplicaRecord) -> bool:
         """Tell whether a replica runs in another failure domain.
 
--- a/packages/bluebellbay/bluebellbay/transport/follower.py
+++ b/packages/bluebellbay/bluebellbay/transport/follower.py
@@ -11,7 +11,6 @@
 from bluebellbay.protocol.node import NodeEntry
 from bluebellbay.protocol.registry import StoreConnectionLost
 from bluebellbay.protocol.registry import StoreConnectionRestored
-from bluebellbay.protocol.registry import StoreListed
 from bluebellbay.transport._backoff import Backoff
 from bluebellbay.transport.store import HistoryCompacted
 from bluebellbay.transport.store import LeaseExpired
@@ -85,8 +84,6 @@
         self._silent_s: float | None = None
         self._listing: StoreListing | None = None
         self._listing_task: Deferred[None] | None = None
-        self._listing_cause = "start"
-        self._listing_failures = 0
         self._tasks: list[Deferred[None]] = []
 
     def start(self) -> None:
@@ -115,17 +112,18 @@
     async def _follow_changes(self) -> None:
         backoff = Backoff(reactor=self._reactor, rng=self._rng)
         revision: int | None = None
+        listing = self._renew_listing("start")
         while True:
             try:
                 if revision is None:
-                    revision = await self._begin_listing()
+                    revision = await self._begin_listing(listing)
                 else:
                     revision = await self._read_changes(revision)
                 backoff.reset()
             except HistoryCompacted:
                 # The store has answered, and may be refusing a part of calls.
                 backoff.reset()
-                self._listing_cause = "history gone"
+                listing = self._renew_listing("history gone")
                 revision = None
             except StoreUnavailable as error:
                 self._report_lost(str(error))
@@ -135,34 +133,35 @@
             except Exception as error:
                 # A change that can't be handled must not end the watch.
                 self._report_exception(error)
-                self._listing_cause = "unexpected error"
+                listing = self._renew_listing("unexpected error")
                 revision = None
                 await backoff.wait()
 
-    async def _begin_listing(self) -> int:
-        """Read the first page; the others are read during the watch."""
+    def _renew_listing(self, cause: str) -> StoreListing:
         self._cancel_listing()
-        began_at = self._reactor.seconds()
-        try:
-            page = await self._client.read_page("")
-        except StoreUnavailable as error:
-            self._listing_failures += 1
-            self._report_failed_listing(began_at, str(error))
-            raise
-        self._record_answer()
-        self._report_regained()
-        self._listing = StoreListing(
+        listing = self._listing = StoreListing(
             reactor=self._reactor,
             client=self._client,
             schema=self._schema,
             report=self._report,
             backoff=Backoff(reactor=self._reactor, rng=self._rng),
-            cause=self._listing_cause,
-            failures=self._listing_failures,
+            cause=cause,
         )
-        self._listing_failures = 0
+        return listing
+
+    def _cancel_listing(self) -> None:
+        self._listing = None
+        if self._listing_task is not None:
+            self._listing_task.cancel()
+            self._listing_task = None
+
+    async def _begin_listing(self, listing: StoreListing) -> int:
+        """Read the first page; the others are read during the watch."""
+        page = await listing.read_first_page()
+        self._record_answer()
+        self._report_regained()
         self._listing_task = Deferred.fromCoroutine(
-            self._finish_listing(self._listing, page)
+            self._finish_listing(listing, page)
         )
         return page.revision
 
@@ -182,24 +181,6 @@
                 await backoff.wait()
         self._listing = None
 
-    def _cancel_listing(self) -> None:
-        self._listing = None
-        if self._listing_task is not None:
-            self._listing_task.cancel()
-            self._listing_task = None
-
-    def _report_failed_listing(self, began_at: float, error: str) -> None:
-        self._report(
-            StoreListed(
-                cause=self._listing_cause,
-                items=0,
-                pages=0,
-                seconds=self._reactor.seconds() - began_at,
-                failures=self._listing_failures,
-                error=error,
-            )
-        )
-
     def _record_answer(self) -> None:
         self._silent_s = self.measure_silence()
         self._answered_at = self._reactor.seconds()
--- a/packages/bluebellbay/bluebellbay/transport/pool.py
+++ b/packages/bluebellbay/bluebellbay/transport/pool.py
@@ -235,22 +235,18 @@
 
     def _pop_reusable(self, call: PooledCall) -> Connection | None:
         now = self._reactor.seconds()
-        carriers = []
-        found = None
-        while self._idle and found is None:
-            connection = self._idle.pop()
-            if not _is_reusable(call, connection, now - connection.idle_since):
+        for index in reversed(range(len(self._idle))):
+            connection = self._idle[index]
+            idle_s = now - connection.idle_since
+            if not _is_reusable(call, connection, idle_s):
+                del self._idle[index]
                 self._close(connection)
-            elif connection.has_carried(call.key):
-                carriers.append(connection)
-            else:
-                found = connection
-        self._idle.extend(reversed(carriers))
-        staying = len(self._open) - len(self._closing)
-        if found is None and carriers and staying >= self._limit:
-            # Makes room for a connection that has not carried this call.
+            elif not connection.has_carried(call.key):
+                return self._idle.pop(index)
+        if self._idle and len(self._open) - len(self._closing) >= self._limit:
+            # All have carried this call; one makes room for another.
             self._close(self._idle.pop(0))
-        return found
+        return None
 
     def _close(self, connection: Connection) -> None:
         self._closing.add(connection)
--- a/packages/bluebellbay/bluebellbay/transport/store_listing.py
+++ b/packages/bluebellbay/bluebellbay/transport/store_listing.py
@@ -19,7 +19,7 @@
 
 
 class StoreListing:
-    """Reads the pages after the first one, and reports each as it comes.
+    """Reads all items page by page, and reports each page as it comes.
 
     Pages and changes arrive in any order. Of each item the highest revision
     counts, so that a page never undoes a change. A page that fails is read
@@ -32,7 +32,6 @@
     :param report: Called with each event.
     :param backoff: Pauses between tries of a page.
     :param cause: Why all items are read, as a short phrase.
-    :param failures: Number of tries of the first page that failed.
     """
 
     def __init__(
@@ -44,7 +43,6 @@
         report: RoutingEventHandler,
         backoff: Backoff,
         cause: str,
-        failures: int,
     ) -> None:
         self._reactor = reactor
         self._client = client
@@ -52,7 +50,7 @@
         self._report = report
         self._backoff = backoff
         self._cause = cause
-        self._failures = failures
+        self._failures = 0
         self._began_at = reactor.seconds()
         self._pages = 0
         # Newest known form of each item; without a value if it was removed.
@@ -72,6 +70,19 @@
                 newer.append(item)
         return tuple(newer)
 
+    async def read_first_page(self) -> StorePage:
+        """Read the first page, with one try.
+
+        :returns: The page, for :meth:`read_from`; nothing is reported of it.
+        :raises StoreUnavailable: If it could not be read.
+        """
+        try:
+            return await self._client.read_page("")
+        except StoreUnavailable as error:
+            self._failures += 1
+            self._report_progress(error=str(error))
+            raise
+
     async def read_from(self, page: StorePage) -> None:
         """Report a page, then read and report all that follow.
 
--- a/packages/bluebellbayd/bluebellbayd/router.py
+++ b/packages/bluebellbayd/bluebellbayd/router.py
@@ -321,16 +321,17 @@
         self._health_page.ready = command.healthy
 
     def _log_decision(self, decision: LogDecision) -> None:
-        is_error = any(field.name == "error" for field in decision.fields)
-        limiter = (
-            self._error_rate_limiter if is_error else self._log_rate_limiter
-        )
-        if decision.request_id and not limiter.try_acquire(
-            self._reactor.seconds()
-        ):
+        if decision.request_id and not self._choose_limiter(
+            decision
+        ).try_acquire(self._reactor.seconds()):
             return
         log_decision(decision)
 
+    def _choose_limiter(self, decision: LogDecision) -> LogRateLimiter:
+        if any(field.name == "error" for field in decision.fields):
+            return self._error_rate_limiter
+        return self._log_rate_limiter
+
     def _flush_log(self) -> None:
         dropped_lines = (
             self._log_rate_limiter.pop_suppressed_count()
