Give the faulty store of the tests the fake's own pages and writes

The store with faults wrote the page and the write of the fake store again, and asked twice whether history is gone; scripted replicas had two ways to send. One each now; the fake has pages of 500. No assertion changes.

--- a/features/steps/fake_platform.py
+++ b/features/steps/fake_platform.py
@@ -79,6 +79,7 @@
     """In-memory store that answers ranges, watches, leases and writes."""
 
     def __init__(self):
+        self.page_items = 500
         self.items = {}
         self.revision = 1
         self.unavailable = False
@@ -87,13 +88,16 @@
         self.server = Server(self._handle)
 
     def put(self, key, value):
+        self.put_bytes(key, json.dumps(value).encode())
+
+    def put_bytes(self, key, value):
+        self.put_text(key, base64.b64encode(value).decode())
+
+    def put_text(self, key, text):
+        """Write the text that stands for a value, sound Base64 or not."""
         with self._changed:
             self.revision += 1
-            item = {
-                "key": key,
-                "value": base64.b64encode(json.dumps(value).encode()).decode(),
-                "revision": self.revision,
-            }
+            item = {"key": key, "value": text, "revision": self.revision}
             self.items[key] = item
             self._events.append(item)
             self._changed.notify_all()
@@ -111,7 +115,9 @@
 
     def _answer(self, path, query, body):
         if path == "/-/kv-range":
-            return self._read_range(query["prefix"][0])
+            return self._read_page(
+                query["prefix"][0], query.get("after", [""])[0]
+            )
         if path == "/-/kv-watch":
             return self._wait_for_events(
                 int(query["after"][0]), int(query["wait-ms"][0]) / 1000
@@ -123,16 +129,16 @@
             return {"revision": self.revision}
         return {"lease": 1, "ttl-ms": 30000}
 
-    def _read_range(self, prefix):
+    def _read_page(self, prefix, after):
         with self._changed:
-            items = [
-                self.items[key]
+            keys = [
+                key
                 for key in sorted(self.items)
-                if key.startswith(prefix)
+                if key.startswith(prefix) and key > after
             ]
             return {
-                "items": items,
-                "has-more": False,
+                "items": [self.items[key] for key in keys[: self.page_items]],
+                "has-more": len(keys) > self.page_items,
                 "store-revision": self.revision,
             }
 
--- a/features/steps/faulty_store.py
+++ b/features/steps/faulty_store.py
@@ -1,6 +1,5 @@
 """A store over sockets whose answers can be refused or fall silent."""
 
-import base64
 import json
 import threading
 from urllib.parse import parse_qs
@@ -14,16 +13,14 @@
 
 
 class FaultyStore(FakeStore):
-    """The fake store, with pages, lost history and faults.
+    """The fake store, with lost history and faults.
 
-    :ivar page_items: Largest number of items a page.
     :ivar refuses_every_second: Whether every second call is refused.
     :ivar delay_s: Seconds until a call is answered.
     :ivar checks: Number of stale reads so far.
     """
 
     def __init__(self):
-        self.page_items = 500
         self.refuses_every_second = False
         self.delay_s = 0.0
         self.checks = 0
@@ -33,19 +30,6 @@
         self._ended = threading.Event()
         super().__init__()
 
-    def put_bytes(self, key, value, *, encoded=None):
-        """Write bytes, or text in place of their Base64 form."""
-        with self._changed:
-            self.revision += 1
-            item = {
-                "key": key,
-                "value": encoded or base64.b64encode(value).decode(),
-                "revision": self.revision,
-            }
-            self.items[key] = item
-            self._events.append(item)
-            self._changed.notify_all()
-
     def silence_connections(self):
         """Answer nothing more on the connections that are open."""
         self._era += 1
@@ -85,34 +69,13 @@
         request.answer(200, json.dumps(answer).encode())
 
     def _answer(self, path, query, body):
-        if path == "/-/kv-range":
-            return self._read_page(
-                query["prefix"][0], query.get("after", [""])[0]
-            )
         if path == "/-/kv-key":
             item = self.items[query["key"][0]]
             return {**item, "store-revision": self.revision}
-        if path == "/-/kv-watch":
-            if int(query["after"][0]) < self._gone_revision:
-                return None
-            answer = super()._answer(path, query, body)
-            if int(query["after"][0]) < self._gone_revision:
-                return None
-            return answer
-        return super()._answer(path, query, body)
-
-    def _read_page(self, prefix, after):
-        with self._changed:
-            keys = [
-                key
-                for key in sorted(self.items)
-                if key.startswith(prefix) and key > after
-            ]
-            return {
-                "items": [self.items[key] for key in keys[: self.page_items]],
-                "has-more": len(keys) > self.page_items,
-                "store-revision": self.revision,
-            }
+        answer = super()._answer(path, query, body)
+        if path == "/-/kv-watch" and self._ends_watch(int(query["after"][0])):
+            return None
+        return answer
 
     def _ends_watch(self, after):
         return after < self._gone_revision
--- a/features/steps/misbehaviour_steps.py
+++ b/features/steps/misbehaviour_steps.py
@@ -94,12 +94,14 @@
             limit = SetConnectionLimit(replica=entry, limit=1)
             call_in_reactor(self.link.set_limit, limit)
 
-    def send(self, replica=0, **fields):
+    def send(self, replica=0, *, request_id=None, method=b"GET", **fields):
+        """Send a request, whose id is new unless one is given."""
         self._attempts += 1
-        request = build_request("route", number=self._attempts)
-        name = request.request_id.encode()
+        name = request_id or b"request-%d" % self._attempts
         request = dataclasses.replace(
-            request, forwarded=b"Bluebellbay-Request-Id: %s\r\n" % name
+            build_request("route", number=self._attempts, method=method),
+            request_id=name.decode(),
+            forwarded=b"Bluebellbay-Request-Id: %s\r\n" % name,
         )
         command = SendAttempt(
             attempt=self._attempts,
@@ -111,20 +113,7 @@
         call_in_reactor(self.link.send, command)
 
     def send_request(self, request_id, method):
-        """Send a request whose id may have been sent before."""
-        self._attempts += 1
-        request = dataclasses.replace(
-            build_request("route", method=method),
-            request_id=request_id.decode(),
-            forwarded=b"Bluebellbay-Request-Id: %s\r\n" % request_id,
-        )
-        command = SendAttempt(
-            attempt=self._attempts,
-            request=request,
-            replica=self.entries[0],
-            deadline_s=DEADLINE_S,
-        )
-        call_in_reactor(self.link.send, command)
+        self.send(request_id=request_id, method=method)
         return self.receive()
 
     def receive(self, replica=0):
--- a/features/steps/store_age_steps.py
+++ b/features/steps/store_age_steps.py
@@ -207,7 +207,7 @@
 def write_odd_entry(context, odd):
     text = ODD_ENTRIES[odd]
     if text is None:
-        context.store.put_bytes(ODD_KEY, b"", encoded="*not Base64*")
+        context.store.put_text(ODD_KEY, "*not Base64*")
     else:
         context.store.put_bytes(ODD_KEY, text.encode("utf-8", "surrogatepass"))
 
@@ -306,7 +306,6 @@
         report=lambda event: None,
         backoff=Backoff(reactor=clock, rng=random.Random(1)),
         cause="start",
-        failures=0,
     )
     removal = StoreItem(key="k", value=None, revision=revision)
     assert context.listing.add_changes([removal]) == (removal,)
