Count the time of a replica that is gone from how old its removal may be

Cause: the 2.2 s for which such a replica stays a last resort counted from the moment at which the node heard of it, after whatever had delayed the news: the pause between two calls, a cut and its backoff. Each failed call of the watch, whatever failed, counted as an outage of the store and began all of them anew.

Mend: one part of the state bounds how old the store's picture is. An answer that is no copy's shows all that the store had accepted by then, so what the next one reports is younger than that answer; the limit counts from there. Time after an outage is given only after a silence in which entries of live replicas may have lapsed, two heartbeats, and only to entries read as gone since. The follower tells each answer, and when all of it was reported; during a listing nothing counts as known. The silence in log and metrics comes from there too.

Scenarios replaced: one kept a replica whose removal was read while calls failed until 2 s after the return, 20 s later. That is the fault: the store can be read while a watch is cut. It now reads the removal with the return, as a watch does, and has 2 s from there; three were added on what an outage gives no time to. The silence is read from the log lines instead of the events. A replica that a listing no longer tells may be removed already when the step looks.

--- a/features/replicas.feature
+++ b/features/replicas.feature
@@ -30,19 +30,31 @@
 
   Scenario: A replica whose entry is gone is a last resort, then dropped
     Given an idempotent route to 2 replicas
-    When the entry of "r1" is removed
+    When the store confirms that all its changes are known
+    And 1 s pass
+    And the entry of "r1" is removed
     And 10 requests arrive
     Then none of them went to "r1"
-    When 2.5 s pass
+    And 2 replicas are known
+    When 2 s pass
     Then 1 replica is known
 
-  Scenario: Entries that lapsed with the store away have two seconds
+  Scenario: A replica whose entry went long before that was read is dropped at once
     Given an idempotent route to 2 replicas
-    When the store becomes unavailable
+    When the store confirms that all its changes are known
+    And 3 s pass
     And the entry of "r1" is removed
+    And 0.01 s pass
+    Then 1 replica is known
+
+  Scenario: Entries that lapsed with the store away have two seconds
+    Given an idempotent route to 2 replicas
+    When the store confirms that all its changes are known
+    And the store becomes unavailable
     And 20 s pass
     Then 2 replicas are known
     When the store is available again
+    And the entry of "r1" is removed
     And 2 s pass
     Then 2 replicas are known
     When the entry of "r1" is written again
@@ -51,12 +63,32 @@
 
   Scenario: Entries still missing after that are gone
     Given an idempotent route to 2 replicas
-    When the store becomes unavailable
-    And the entry of "r1" is removed
+    When the store confirms that all its changes are known
+    And the store becomes unavailable
+    And 20 s pass
     And the store is available again
+    And the entry of "r1" is removed
     And 2.5 s pass
     Then 1 replica is known
 
+  Scenario: An outage too short for entries to lapse gives them no time
+    Given an idempotent route to 2 replicas
+    When the store confirms that all its changes are known
+    And the store becomes unavailable
+    And 2.3 s pass
+    And the store is available again
+    And the entry of "r1" is removed
+    And 0.6 s pass
+    Then 1 replica is known
+
+  Scenario: An outage gives no time to an entry that went before it
+    Given an idempotent route to 2 replicas
+    When the store confirms that all its changes are known
+    And the entry of "r1" is removed
+    And the store becomes unavailable
+    And 2.9 s pass
+    Then 1 replica is known
+
   Scenario: A silent replica is avoided while it is silent
     Given an idempotent route to 2 replicas with known latencies
     When one replica does not answer a request
--- a/features/steps/faulty_store.py
+++ b/features/steps/faulty_store.py
@@ -15,18 +15,23 @@
 class FaultyStore(FakeStore):
     """The fake store, with lost history and faults.
 
+    :ivar refuses_all: Whether every call is refused.
     :ivar refuses_every_second: Whether every second call is refused.
     :ivar delay_s: Seconds until a call is answered.
     :ivar checks: Number of stale reads so far.
     """
 
     def __init__(self):
+        self.refuses_all = False
         self.refuses_every_second = False
         self.delay_s = 0.0
         self.checks = 0
         self._calls = 0
+        self._cuts = 0
         self._era = 0
         self._gone_revision = 0
+        # Each call has a thread of its own.
+        self._watching = threading.local()
         self._ended = threading.Event()
         super().__init__()
 
@@ -34,6 +39,21 @@
         """Answer nothing more on the connections that are open."""
         self._era += 1
 
+    def cut_watches(self):
+        """Close the connections of the watches that wait."""
+        with self._changed:
+            self._cuts += 1
+            self._changed.notify_all()
+
+    def remove(self, key):
+        with self._changed:
+            self.revision += 1
+            del self.items[key]
+            self._events.append(
+                {"key": key, "revision": self.revision, "tombstone": True}
+            )
+            self._changed.notify_all()
+
     def forget_history(self):
         """Drop all events and end the watches that wait."""
         with self._changed:
@@ -54,11 +74,15 @@
         self._calls += 1
         if "allow-stale" in query:
             self.checks += 1
-        if self.refuses_every_second and self._calls % 2:
+        if self.refuses_all or (self.refuses_every_second and self._calls % 2):
             request.answer(UNAVAILABLE)
             return
         self._ended.wait(self.delay_s)
+        cuts = self._cuts
         answer = self._answer(url.path, query, body)
+        if cuts != self._cuts and url.path == "/-/kv-watch":
+            request.close_connection = True
+            return
         if request.era != self._era:
             self._ended.wait(SILENCE_S)
             request.close_connection = True
@@ -73,9 +97,18 @@
             item = self.items[query["key"][0]]
             return {**item, "store-revision": self.revision}
         answer = super()._answer(path, query, body)
-        if path == "/-/kv-watch" and self._ends_watch(int(query["after"][0])):
+        if path == "/-/kv-watch" and self._has_lost(int(query["after"][0])):
             return None
         return answer
 
+    def _wait_for_events(self, after, wait_s):
+        self._watching.cuts = self._cuts
+        return super()._wait_for_events(after, wait_s)
+
     def _ends_watch(self, after):
+        if self._cuts != self._watching.cuts:
+            return True
+        return self._has_lost(after)
+
+    def _has_lost(self, after):
         return after < self._gone_revision
--- a/features/steps/follower_steps.py
+++ b/features/steps/follower_steps.py
@@ -6,11 +6,16 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
+from bluebellbay.coordination.routing.core import RoutingCore
 from bluebellbay.protocol.node import NodeEntry
+from bluebellbay.protocol.process import LogDecision
 from bluebellbay.protocol.registry import NodeLeaseEnded
+from bluebellbay.protocol.registry import StoreAnswered
+from bluebellbay.protocol.registry import StoreConfirmed
 from bluebellbay.protocol.registry import StoreConnectionLost
 from bluebellbay.protocol.registry import StoreConnectionRestored
 from bluebellbay.protocol.registry import StoreListed
+from bluebellbay.protocol.router_rules import RouterRules
 from bluebellbay.transport.follower import StoreFollower
 from bluebellbay.transport.store import HistoryCompacted
 from bluebellbay.transport.store import LeaseExpired
@@ -109,6 +114,19 @@
     context.store = FakeStore(revision)
     context.store.fails_next_put = getattr(context, "fails_next_put", False)
     context.events = []
+    context.lines = []
+    core = RoutingCore(
+        rules=RouterRules(node="n", failure_domain=""), rng=random.Random(1)
+    )
+
+    def report(event):
+        context.events.append(event)
+        context.lines += [
+            command
+            for command in core.step(event, context.clock.seconds())
+            if isinstance(command, LogDecision)
+        ]
+
     context.exceptions = []
     context.nodes = 1
     context.follower = StoreFollower(
@@ -116,7 +134,7 @@
         client=context.store,
         schema=FakeSchema(),
         node=NodeEntry(name="n", address="", failure_domain=""),
-        report=context.events.append,
+        report=report,
         report_exception=context.exceptions.append,
         rng=random.Random(1),
         pace=StorePace(apply_limit_s=3.0, catch_up_limit_s=4.0),
@@ -160,7 +178,8 @@
 
 @behave.then("the change is reported and it watches after {revision:d}")
 def check_change_reported(context, revision):
-    assert context.events[-1] == NodeLeaseEnded(name=f"key-{revision}")
+    changes = find_events(context, NodeLeaseEnded)
+    assert changes[-1] == NodeLeaseEnded(name=f"key-{revision}")
     assert context.store.watched_revisions[-1] == revision
 
 
@@ -228,7 +247,12 @@
 @behave.then("the store is reported as regained before the change")
 def check_regained_first(context):
     kinds = [type(event) for event in context.events]
-    assert kinds[-2:] == [StoreConnectionRestored, NodeLeaseEnded], kinds
+    assert kinds[-4:] == [
+        StoreAnswered,
+        StoreConnectionRestored,
+        NodeLeaseEnded,
+        StoreConfirmed,
+    ], kinds
 
 
 @behave.then("the node's key was written under a lease")
@@ -414,11 +438,17 @@
 
 @behave.then("the loss and the return tell for how long the store was silent")
 def check_silence_told(context):
-    (lost,) = find_events(context, StoreConnectionLost)
     deliver_change(context, 9, b"value")
-    (restored,) = find_events(context, StoreConnectionRestored)
-    assert lost.silent_s is not None
-    assert restored.silent_s > lost.silent_s, (lost, restored)
+    lost_s, restored_s = (
+        field.value
+        for sentence in ("Lost the store", "Regained the store")
+        for line in context.lines
+        if line.sentence.startswith(sentence)
+        for field in line.fields
+        if field.name == "silent_s"
+    )
+    assert lost_s is not None
+    assert restored_s > lost_s, (lost_s, restored_s)
 
 
 @behave.then(
--- a/features/steps/replica_steps.py
+++ b/features/steps/replica_steps.py
@@ -11,6 +11,8 @@
 from bluebellbay.protocol.registry import NodesListed
 from bluebellbay.protocol.registry import ReplicaRemoved
 from bluebellbay.protocol.registry import SetConnectionLimit
+from bluebellbay.protocol.registry import StoreAnswered
+from bluebellbay.protocol.registry import StoreConfirmed
 from bluebellbay.protocol.registry import StoreConnectionLost
 from bluebellbay.protocol.registry import StoreConnectionRestored
 
@@ -55,6 +57,12 @@
     context.harness.add_replicas(build_replica(replica, SERVICE, sequence=9))
 
 
+@behave.when("the store confirms that all its changes are known")
+def step_store_confirms(context):
+    context.harness.feed(StoreAnswered())
+    context.harness.feed(StoreConfirmed(confirmed_at=context.harness.now))
+
+
 @behave.when("the store becomes unavailable")
 def step_store_lost(context):
     context.harness.feed(StoreConnectionLost(reason="silent"))
@@ -62,6 +70,7 @@
 
 @behave.when("the store is available again")
 def step_store_regained(context):
+    context.harness.feed(StoreAnswered())
     context.harness.feed(StoreConnectionRestored())
 
 
--- a/features/steps/routing_history_steps.py
+++ b/features/steps/routing_history_steps.py
@@ -19,6 +19,8 @@
 from bluebellbay.protocol.process import ShutdownRequested
 from bluebellbay.protocol.registry import ConfigurationReceived
 from bluebellbay.protocol.registry import ReplicaRemoved
+from bluebellbay.protocol.registry import StoreAnswered
+from bluebellbay.protocol.registry import StoreConfirmed
 from bluebellbay.protocol.registry import StoreConnectionLost
 from bluebellbay.protocol.registry import StoreConnectionRestored
 
@@ -129,11 +131,15 @@
             self.draining[name] = self.harness.now if draining else None
 
     def change_store(self):
-        lost = self.rng.random() < 0.5
         self.harness.feed(
-            StoreConnectionLost(reason="reset")
-            if lost
-            else StoreConnectionRestored()
+            self.rng.choice(
+                (
+                    StoreConnectionLost(reason="reset"),
+                    StoreConnectionRestored(),
+                    StoreAnswered(),
+                    StoreConfirmed(confirmed_at=self.harness.now),
+                )
+            )
         )
 
     def abandon_random_exchange(self):
--- a/features/steps/store_age_steps.py
+++ b/features/steps/store_age_steps.py
@@ -6,31 +6,23 @@
 
 from _reactor_thread import call_in_reactor
 import behave
-from fake_platform import LOOPBACK
 from faulty_store import FaultyStore
+from following_node import FollowingNode
 from platform_world import wait_for
 from routing_harness import build_configuration
 from routing_harness import build_replica
 from routing_harness import build_route
 from routing_harness import RoutingHarness
-from twisted.internet import reactor
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import DeferredList
 from twisted.internet.task import Clock
 
-from bluebellbay.coordination.routing.core import RoutingCore
-from bluebellbay.protocol.node import NodeEntry
 from bluebellbay.protocol.process import ReportHealth
 from bluebellbay.protocol.registry import ConfigurationReceived
 from bluebellbay.protocol.registry import ReplicasListed
-from bluebellbay.protocol.router_rules import RouterRules
 from bluebellbay.transport._backoff import Backoff
-from bluebellbay.transport.follower import StoreFollower
 from bluebellbay.transport.store import StoreItem
 from bluebellbay.transport.store_listing import StoreListing
-from bluebellbay.transport.store_pace import StorePace
-from bluebellbay_platform.schema import PlatformSchema
-from bluebellbay_platform.store import PlatformStore
 
 ODD_KEY = "servers/odd"
 GONE_KEY = "servers/r0000"
@@ -80,49 +72,6 @@
 }
 
 
-class FollowingNode:
-    """A follower whose events reach a routing core, as in the program."""
-
-    def __init__(self, store):
-        self.core = RoutingCore(
-            rules=RouterRules(node="node-0", failure_domain="z"),
-            rng=random.Random(1),
-        )
-        self.unreadable = []
-        self.client = PlatformStore(
-            reactor=reactor, address=f"{LOOPBACK}:{store.server.port}"
-        )
-        self._follower = StoreFollower(
-            reactor=reactor,
-            client=self.client,
-            schema=PlatformSchema(
-                report_unreadable=lambda key, reason: self.unreadable.append(
-                    (key, reason)
-                )
-            ),
-            node=NodeEntry(
-                name="node-0", address="127.0.0.1:1", failure_domain="z"
-            ),
-            report=lambda event: self.core.step(event, time.time()),
-            report_exception=lambda error: None,
-            rng=random.Random(1),
-            pace=StorePace(apply_limit_s=3.0, catch_up_limit_s=4.0),
-            count_nodes=lambda: 4,
-        )
-        call_in_reactor(self._follower.start)
-
-    @property
-    def version(self):
-        return self.core.state.routes.version
-
-    @property
-    def replicas(self):
-        return {record.entry.replica_id for record in self.core.state.replicas}
-
-    def stop(self):
-        call_in_reactor(self._follower.stop)
-
-
 def write_configuration(context):
     context.version += 1
     value = {
@@ -139,7 +88,7 @@
     "a follower of a faulty store with {entries:d} entries in pages of "
     "{page:d}"
 )
-def start_node(context, entries, page):
+def start_node(context, entries, page, nodes=4):
     context.store = FaultyStore()
     context.add_cleanup(context.store.stop)
     context.store.page_items = page
@@ -147,7 +96,7 @@
         context.store.put(f"servers/r{number:04d}", ENTRY)
     context.version = 1
     write_configuration(context)
-    context.node = FollowingNode(context.store)
+    context.node = FollowingNode(context.store, nodes=nodes)
     context.add_cleanup(context.node.stop)
     assert wait_for(lambda: len(context.node.replicas) == entries)
     assert context.node.version == context.version
@@ -164,14 +113,19 @@
     context.store.delay_s = 0.0
 
 
+def wait_for_check(context):
+    """Wait until a check of the watch has been answered."""
+    checks = context.store.checks
+    assert wait_for(lambda: context.store.checks > checks)
+    time.sleep(0.05)
+
+
 @behave.when(
     "the open connections go silent just after a check and a configuration "
     "is written"
 )
 def silence_and_write(context):
-    checks = context.store.checks
-    assert wait_for(lambda: context.store.checks > checks)
-    time.sleep(0.05)
+    wait_for_check(context)
     context.store.silence_connections()
     write_configuration(context)
 
@@ -193,12 +147,11 @@
 @behave.then("the listing tells which entry came and which one is gone")
 def check_listing(context):
     def is_listed():
-        (gone,) = (
-            record
-            for record in context.node.core.state.replicas
-            if record.entry.replica_id in GONE_KEY
+        gone = context.node.core.state.replicas.find(
+            GONE_KEY.removeprefix("servers/")
         )
-        return gone.unlisted_at and "r9999" in context.node.replicas
+        is_gone = gone is None or gone.unlisted_at is not None
+        return is_gone and "r9999" in context.node.replicas
 
     assert wait_for(is_listed, LISTING_TIMEOUT_S)
 
--- a/packages/bluebellbay/bluebellbay/coordination/routing/replicas.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/replicas.py
@@ -1,6 +1,6 @@
 """Synchronizes the table of replicas with the store."""
 
-import math
+from typing import Any
 
 from bluebellbay.coordination.routing.connection_limit import (
     set_connection_limit,
@@ -19,22 +19,20 @@
 from bluebellbay.protocol.registry import ReplicaRemoved
 from bluebellbay.protocol.registry import ReplicasListed
 from bluebellbay.protocol.registry import ReplicaUpdated
+from bluebellbay.protocol.registry import StoreAnswered
+from bluebellbay.protocol.registry import StoreConfirmed
 from bluebellbay.protocol.registry import StoreConnectionLost
 from bluebellbay.protocol.registry import StoreConnectionRestored
 from bluebellbay.protocol.registry import StoreListed
 from bluebellbay.protocol.replica import ReplicaEntry
 from bluebellbay.state.replica import ReplicaRecord
 
-# Replicas rewrite entries that expired in an outage of the store within 2 s.
-REGISTRATION_GRACE_S = 2.2
-
 
 class ReplicaPart(RoutingPart):
     """Adds, updates and removes replicas as their entries change.
 
-    A replica whose entry is gone is a last resort, and is removed after
-    ``REGISTRATION_GRACE_S``. The grace period starts anew when a lost store
-    is back, and nothing is removed while the store is lost.
+    A replica whose entry is gone is a last resort until its removal, whose
+    time hangs on how old the knowledge of the store was when that was read.
 
     :param context: State and services shared by all requests of the node.
     """
@@ -42,7 +40,6 @@
     def __init__(self, *, context: RoutingContext) -> None:
         super().__init__(context=context)
         self._store_lost = False
-        self._regained_at = -math.inf
         self._unlisted: dict[str, None] = {}
 
     def list_handlers(self) -> EventHandlers:
@@ -51,6 +48,8 @@
             ReplicasListed: self._handle_list,
             ReplicaUpdated: self._handle_entry,
             ReplicaRemoved: self._handle_removal,
+            StoreAnswered: self._handle_store_answer,
+            StoreConfirmed: self._handle_confirmation,
             StoreConnectionLost: self._handle_store_lost,
             StoreConnectionRestored: self._handle_store_regained,
             StoreListed: self._handle_store_listed,
@@ -59,8 +58,6 @@
 
     def get_wakeup_time(self) -> float | None:
         """Return the time of the next wake-up, if one is scheduled."""
-        if self._store_lost:
-            return None
         return min(
             (self._find_removal_time(name) for name in self._unlisted),
             default=None,
@@ -150,19 +147,20 @@
         if record.entry.draining:
             self._remove(record)
             return
+        store = self.state.store
         record.unlisted_at = now
+        record.removal_at = store.compute_removal_time(self.state.rules.store)
         self._unlisted[record.entry.replica_id] = None
         self._log_entry(
-            "A replica's entry is gone; it is a last resort now.", record.entry
+            "A replica's entry is gone; it is a last resort now.",
+            record.entry,
+            unconfirmed_s=round(now - store.confirmed_at, 2),
+            left_s=round(record.removal_at - now, 2),
         )
 
     def _find_removal_time(self, replica_id: str) -> float:
         record = self.state.replicas.find(replica_id)
-        if record is None or record.unlisted_at is None:
-            return -math.inf
-        return (
-            max(record.unlisted_at, self._regained_at) + REGISTRATION_GRACE_S
-        )
+        return 0.0 if record is None else record.removal_at
 
     def _remove(self, record: ReplicaRecord) -> None:
         self._unlisted.pop(record.entry.replica_id, None)
@@ -173,30 +171,37 @@
         self.context.emit(CloseReplicaConnections(replica=record.entry))
         set_service_limits(self.context, record.entry.service)
 
+    def _handle_store_answer(self, event: StoreAnswered, now: float) -> None:
+        del event
+        self.state.store.note_answer(now, self.state.rules.store)
+
+    def _handle_confirmation(self, event: StoreConfirmed, now: float) -> None:
+        del now
+        self.state.store.confirm(event.confirmed_at)
+
     def _handle_store_lost(
         self, event: StoreConnectionLost, now: float
     ) -> None:
-        del now
         if not self._store_lost:
             self.context.log(
-                "Lost the store; replicas are kept until it answers.",
+                "Lost the store; listed replicas are kept until it answers.",
                 reason=event.reason,
-                silent_s=_round(event.silent_s),
+                silent_s=_round(self.state.store.measure_silence(now)),
             )
         self._store_lost = True
 
     def _handle_store_regained(
         self, event: StoreConnectionRestored, now: float
     ) -> None:
+        del event, now
         if not self._store_lost:
             return
         self._store_lost = False
-        self._regained_at = now
         self.context.log(
-            "Regained the store; missing replicas have a grace period.",
+            "Regained the store.",
             version=self.state.routes.version,
             replicas=len(self.state.replicas),
-            silent_s=_round(event.silent_s),
+            silent_s=_round(self.state.store.silent_s),
         )
 
     def _handle_store_listed(self, event: StoreListed, now: float) -> None:
@@ -216,8 +221,6 @@
 
     def _handle_time(self, event: object, now: float) -> None:
         del event
-        if self._store_lost:
-            return
         for replica_id in tuple(self._unlisted):
             if now < self._find_removal_time(replica_id):
                 continue
@@ -227,7 +230,9 @@
                 continue
             self._remove(record)
 
-    def _log_entry(self, sentence: str, entry: ReplicaEntry) -> None:
+    def _log_entry(
+        self, sentence: str, entry: ReplicaEntry, **fields: Any
+    ) -> None:
         self.context.log(
             sentence,
             replica=entry.replica_id,
@@ -236,6 +241,7 @@
             started_ms=entry.started_ms,
             sequence=entry.sequence,
             draining=entry.draining,
+            **fields,
         )
 
 
--- a/packages/bluebellbay/bluebellbay/protocol/registry.py
+++ b/packages/bluebellbay/bluebellbay/protocol/registry.py
@@ -66,23 +66,32 @@
     """The store does not respond.
 
     :param reason: Short description of the failure.
-    :param silent_s: Seconds since the store's last answer; ``None`` if it
-        never answered.
     """
 
     reason: str
-    silent_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StoreConnectionRestored:
-    """The store responds again.
+    """The store responds again."""
 
-    :param silent_s: Seconds between its last answer before the loss and the
-        present one; ``None`` if it never answered before.
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StoreAnswered:
+    """The store has answered a call, be it from a copy.
+
+    It is reported before what the answer tells.
+    """
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StoreConfirmed:
+    """All was reported that the store had accepted by some time.
+
+    :param confirmed_at: The time in seconds, of the clock of events.
     """
 
-    silent_s: float | None = None
+    confirmed_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/bluebellbay/bluebellbay/protocol/router_rules.py
+++ b/packages/bluebellbay/bluebellbay/protocol/router_rules.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from bluebellbay.protocol.store_allowance import StoreAllowance
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RetryLimits:
@@ -28,6 +30,7 @@
     :param retries: Limit on retries and hedges.
     :param grace_s: Seconds from a shutdown request until the platform kills
         the process.
+    :param store: Limits on how old the knowledge of the store may be.
     """
 
     node: str
@@ -36,3 +39,4 @@
     nodes: int = 4
     retries: RetryLimits = dataclasses.field(default_factory=RetryLimits)
     grace_s: float = 6.0
+    store: StoreAllowance = dataclasses.field(default_factory=StoreAllowance)
--- a/packages/bluebellbay/bluebellbay/protocol/routing.py
+++ b/packages/bluebellbay/bluebellbay/protocol/routing.py
@@ -32,6 +32,8 @@
 from bluebellbay.protocol.registry import SetCallerLimits
 from bluebellbay.protocol.registry import SetConnectionLimit
 from bluebellbay.protocol.registry import SetKeepAlive
+from bluebellbay.protocol.registry import StoreAnswered
+from bluebellbay.protocol.registry import StoreConfirmed
 from bluebellbay.protocol.registry import StoreConnectionLost
 from bluebellbay.protocol.registry import StoreConnectionRestored
 from bluebellbay.protocol.registry import StoreListed
@@ -47,6 +49,8 @@
     | ReplicaUpdated
     | ReplicaRemoved
     | RulesReloaded
+    | StoreAnswered
+    | StoreConfirmed
     | StoreConnectionLost
     | StoreConnectionRestored
     | StoreListed
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/protocol/store_allowance.py
@@ -0,0 +1,45 @@
+"""Limits on how old a node's knowledge of the store may be."""
+
+import dataclasses
+
+# Part of each limit for what follows a decision: a request on its way.
+SEND_MARGIN_S = 0.2
+# An entry lapses after this many heartbeats in a row are missing.
+LAPSE_HEARTBEATS = 3
+# Replicas rewrite entries that lapsed in an outage of the store within 2 s.
+REGISTRATION_GRACE_S = 2.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StoreAllowance:
+    """Limits on how old a node's knowledge of the store may be.
+
+    :param removal_limit_s: Time in seconds after which a replica gets no
+        request, once the store has accepted that its entry is gone.
+    :param recovery_limit_s: Time in seconds after an outage, or a fault of the
+        connections to the store, from which that limit holds again.
+    :param heartbeat_s: Time in seconds between two writes of a replica to its
+        entry.
+    """
+
+    removal_limit_s: float = 3.0
+    recovery_limit_s: float = 4.0
+    heartbeat_s: float = 1.2
+
+    @property
+    def removal_delay_s(self) -> float:
+        """Seconds for which a replica without an entry may be kept."""
+        return max(0.0, self.removal_limit_s - SEND_MARGIN_S)
+
+    @property
+    def recovery_delay_s(self) -> float:
+        """Seconds for which a replica may be kept after an outage's end."""
+        return max(0.0, self.recovery_limit_s - SEND_MARGIN_S)
+
+    @property
+    def lapse_s(self) -> float:
+        """Seconds of the shortest outage in which entries may lapse.
+
+        A replica's last write is up to one heartbeat older than the outage.
+        """
+        return (LAPSE_HEARTBEATS - 1) * self.heartbeat_s
--- a/packages/bluebellbay/bluebellbay/state/router.py
+++ b/packages/bluebellbay/bluebellbay/state/router.py
@@ -7,6 +7,7 @@
 from bluebellbay.state.replica import ReplicaRecord
 from bluebellbay.state.replica import ReplicaTable
 from bluebellbay.state.route_table import RouteTable
+from bluebellbay.state.store_picture import StorePicture
 
 
 class RouterState:
@@ -15,6 +16,7 @@
     :param rules: Limits and identity of the node.
     :param rng: The only source of randomness for the core.
     :ivar nodes: Number of nodes that share limits, including this one.
+    :ivar store: How old the knowledge of the store is.
     :ivar replicas_listed: Whether all replicas were listed once; until then
         some may be unknown.
     :ivar stop_by: Unix time in seconds when a node that is shutting down
@@ -33,6 +35,7 @@
         self.routes = RouteTable()
         self.replicas = ReplicaTable()
         self.peers: dict[str, PeerRecord] = {}
+        self.store = StorePicture()
         self.replicas_listed = False
         self.stop_by: float | None = None
         self.takes_callers = True
--- /dev/null
+++ b/packages/bluebellbay/bluebellbay/state/store_picture.py
@@ -0,0 +1,70 @@
+"""How old a node's knowledge of the store is."""
+
+import math
+
+from bluebellbay.protocol.store_allowance import REGISTRATION_GRACE_S
+from bluebellbay.protocol.store_allowance import StoreAllowance
+
+
+class StorePicture:
+    """Bounds the age of what a node knows of the store.
+
+    An answer of the store shows all that it had accepted by then, unless it
+    comes from a copy. What the next one shows was accepted later, however long
+    it took to get here. So a limit that counts from the former answer is kept
+    without another call, and without the store's clock.
+
+    :ivar confirmed_at: Time in seconds by which the store had accepted all
+        that is known of it.
+    :ivar silent_s: Seconds between the last two answers; ``None`` until there
+        are two.
+    """
+
+    def __init__(self) -> None:
+        self.confirmed_at = -math.inf
+        self.silent_s: float | None = None
+        self._answered_at: float | None = None
+        self._returned_at: float | None = None
+
+    def measure_silence(self, now: float) -> float | None:
+        """Measure how long the store has not answered.
+
+        :param now: Current time in seconds.
+        :returns: Seconds since its last answer; ``None`` if it never did.
+        """
+        return None if self._answered_at is None else now - self._answered_at
+
+    def note_answer(self, now: float, allowance: StoreAllowance) -> None:
+        """Note that the store has answered, be it from a copy.
+
+        Entries may have lapsed in a silence as long as the shortest outage in
+        which they do, or before the process started.
+
+        :param now: Current time in seconds.
+        :param allowance: Limits that apply.
+        """
+        self.silent_s = self.measure_silence(now)
+        if self.silent_s is None or self.silent_s > allowance.lapse_s:
+            self._returned_at = now
+        self._answered_at = now
+
+    def confirm(self, at: float) -> None:
+        """Note that all is known that the store had accepted by some time.
+
+        :param at: The time in seconds.
+        """
+        self.confirmed_at = max(self.confirmed_at, at)
+
+    def compute_removal_time(self, allowance: StoreAllowance) -> float:
+        """Compute until when a replica is kept whose entry is gone.
+
+        The entry went after ``confirmed_at``. If it may have lapsed in an
+        outage, the replica is given the time to write it again.
+
+        :param allowance: Limits that apply.
+        :returns: Time in seconds; it may have passed.
+        """
+        limit = self.confirmed_at + allowance.removal_delay_s
+        if self._returned_at is None:
+            return limit
+        return max(limit, self._returned_at + REGISTRATION_GRACE_S)
--- a/packages/bluebellbay/bluebellbay/transport/follower.py
+++ b/packages/bluebellbay/bluebellbay/transport/follower.py
@@ -9,6 +9,8 @@
 from twisted.internet.task import deferLater
 
 from bluebellbay.protocol.node import NodeEntry
+from bluebellbay.protocol.registry import StoreAnswered
+from bluebellbay.protocol.registry import StoreConfirmed
 from bluebellbay.protocol.registry import StoreConnectionLost
 from bluebellbay.protocol.registry import StoreConnectionRestored
 from bluebellbay.transport._backoff import Backoff
@@ -71,7 +73,7 @@
         self._reactor = reactor
         self._client = client
         self._guard = WatchGuard(
-            reactor=reactor, client=client, report_answer=self._record_answer
+            reactor=reactor, client=client, report_answer=self._report_answer
         )
         self._schema = schema
         self._node = node
@@ -79,9 +81,8 @@
         self._report_exception = report_exception
         self._rng = rng
         self._lost = False
-        self._answered_at: float | None = None
-        # Time between the last two answers.
-        self._silent_s: float | None = None
+        # When the last answer came that holds all changes until then.
+        self._read_at = 0.0
         self._listing: StoreListing | None = None
         self._listing_task: Deferred[None] | None = None
         self._tasks: list[Deferred[None]] = []
@@ -100,15 +101,6 @@
         self._tasks = []
         self._cancel_listing()
 
-    def measure_silence(self) -> float | None:
-        """Measure how long the store has not answered a watch or a check.
-
-        :returns: Seconds since its last answer; ``None`` if it never did.
-        """
-        if self._answered_at is None:
-            return None
-        return float(self._reactor.seconds()) - self._answered_at
-
     async def _follow_changes(self) -> None:
         backoff = Backoff(reactor=self._reactor, rng=self._rng)
         revision: int | None = None
@@ -158,7 +150,8 @@
     async def _begin_listing(self, listing: StoreListing) -> int:
         """Read the first page; the others are read during the watch."""
         page = await listing.read_first_page()
-        self._record_answer()
+        self._note_read()
+        self._report_answer()
         self._report_regained()
         self._listing_task = Deferred.fromCoroutine(
             self._finish_listing(listing, page)
@@ -180,10 +173,18 @@
                 self._report_exception(error)
                 await backoff.wait()
         self._listing = None
+        self._report_confirmed()
+
+    def _report_answer(self) -> None:
+        self._report(StoreAnswered())
 
-    def _record_answer(self) -> None:
-        self._silent_s = self.measure_silence()
-        self._answered_at = self._reactor.seconds()
+    def _note_read(self) -> None:
+        self._read_at = self._reactor.seconds()
+
+    def _report_confirmed(self) -> None:
+        # What a listing has not read yet is older than the changes since.
+        if self._listing is None:
+            self._report(StoreConfirmed(confirmed_at=self._read_at))
 
     async def _read_changes(self, revision: int) -> int:
         nodes = self._count_nodes()
@@ -194,6 +195,7 @@
             watch_s,
             check_interval_s=self.pace.check_interval_s,
         )
+        self._note_read()
         self._report_regained()
         items = changes.items
         if self._listing is not None:
@@ -201,6 +203,7 @@
         for item in items:
             for event in self._schema.decode_change(item):
                 self._report(event)
+        self._report_confirmed()
         batch_delay_s = self.pace.compute_batch_delay(nodes, changes.items)
         if batch_delay_s > 0:
             await deferLater(self._reactor, batch_delay_s)
@@ -239,14 +242,12 @@
 
     def _report_lost(self, reason: str) -> None:
         self._lost = True
-        self._report(
-            StoreConnectionLost(reason=reason, silent_s=self.measure_silence())
-        )
+        self._report(StoreConnectionLost(reason=reason))
 
     def _report_regained(self) -> None:
         if self._lost:
             self._lost = False
-            self._report(StoreConnectionRestored(silent_s=self._silent_s))
+            self._report(StoreConnectionRestored())
 
     def _report_task_failure(self, failure: Any) -> None:
         if not failure.check(CancelledError):
--- a/packages/bluebellbayd/bluebellbayd/router.py
+++ b/packages/bluebellbayd/bluebellbayd/router.py
@@ -363,7 +363,9 @@
 
     def _update_metrics(self) -> CollectorRegistry:
         self.metrics.set_gauges(self.core.state)
-        self.metrics.set_store_silence(self._store_follower.measure_silence())
+        self.metrics.set_store_silence(
+            self.core.state.store.measure_silence(self._reactor.seconds())
+        )
         return self.metrics.registry
 
     def _handle_signal(self, number: int, frame: Any) -> None:
