Give replicas no more time after a silence than the limit after it leaves

Cause: a node needs up to 3.1 s to notice that a watch and its checks are on a silent connection. It took that for an outage of the store, in which entries of live replicas may lapse, and gave each replica without an entry 2.2 s more from its next answer.

Mend: the time after a silence ends with that limit, 0.2 s less, counted from a time that is no later than the end of its cause: from the last answer if one call failed, as its connection may have gone silent just then; from the last failed call if there were more, as these are made on other connections and show that the store was away. The follower tells when a failed call was made. After an outage that shows as several failed calls replicas have the same time as before, unless the last of them hung.

Ruled out: a shorter limit for checks (a slow store would be lost, and the watch made anew at each check); a check beside it on another connection (calls).

--- a/features/replicas.feature
+++ b/features/replicas.feature
@@ -50,8 +50,9 @@
   Scenario: Entries that lapsed with the store away have two seconds
     Given an idempotent route to 2 replicas
     When the store confirms that all its changes are known
-    And the store becomes unavailable
+    And a call to the store fails
     And 20 s pass
+    And a call to the store fails
     Then 2 replicas are known
     When the store is available again
     And the entry of "r1" is removed
@@ -64,8 +65,9 @@
   Scenario: Entries still missing after that are gone
     Given an idempotent route to 2 replicas
     When the store confirms that all its changes are known
-    And the store becomes unavailable
+    And a call to the store fails
     And 20 s pass
+    And a call to the store fails
     And the store is available again
     And the entry of "r1" is removed
     And 2.5 s pass
@@ -74,7 +76,7 @@
   Scenario: An outage too short for entries to lapse gives them no time
     Given an idempotent route to 2 replicas
     When the store confirms that all its changes are known
-    And the store becomes unavailable
+    And a call to the store fails
     And 2.3 s pass
     And the store is available again
     And the entry of "r1" is removed
@@ -85,10 +87,37 @@
     Given an idempotent route to 2 replicas
     When the store confirms that all its changes are known
     And the entry of "r1" is removed
-    And the store becomes unavailable
+    And a call to the store fails
     And 2.9 s pass
     Then 1 replica is known
 
+  Scenario: A silence that may be the connections' own gives no more time than they have
+    Given an idempotent route to 2 replicas
+    When the store confirms that all its changes are known
+    And 3 s pass
+    And a call to the store fails that was made 3 s before
+    And the store is available again
+    And the entry of "r1" is removed
+    And 0.7 s pass
+    Then 2 replicas are known
+    When 0.3 s pass
+    Then 1 replica is known
+
+  Scenario: Time after an outage counts from the last call that has failed
+    Given an idempotent route to 2 replicas
+    When the store confirms that all its changes are known
+    And 3 s pass
+    And a call to the store fails that was made 3 s before
+    And 3 s pass
+    And a call to the store fails that was made 1.6 s before
+    And 1.2 s pass
+    And the store is available again
+    And the entry of "r1" is removed
+    And 0.9 s pass
+    Then 2 replicas are known
+    When 0.3 s pass
+    Then 1 replica is known
+
   Scenario: A silent replica is avoided while it is silent
     Given an idempotent route to 2 replicas with known latencies
     When one replica does not answer a request
--- a/features/steps/replica_steps.py
+++ b/features/steps/replica_steps.py
@@ -63,9 +63,21 @@
     context.harness.feed(StoreConfirmed(confirmed_at=context.harness.now))
 
 
-@behave.when("the store becomes unavailable")
+@behave.when("a call to the store fails")
 def step_store_lost(context):
-    context.harness.feed(StoreConnectionLost(reason="silent"))
+    feed_store_lost(context, 0.0)
+
+
+@behave.when("a call to the store fails that was made {seconds:g} s before")
+def step_store_call_failed(context, seconds):
+    feed_store_lost(context, seconds)
+
+
+def feed_store_lost(context, duration_s):
+    asked_at = context.harness.now - duration_s
+    context.harness.feed(
+        StoreConnectionLost(reason="silent", asked_at=asked_at)
+    )
 
 
 @behave.when("the store is available again")
--- a/features/steps/routing_history_steps.py
+++ b/features/steps/routing_history_steps.py
@@ -134,7 +134,9 @@
         self.harness.feed(
             self.rng.choice(
                 (
-                    StoreConnectionLost(reason="reset"),
+                    StoreConnectionLost(
+                        reason="reset", asked_at=self.harness.now
+                    ),
                     StoreConnectionRestored(),
                     StoreAnswered(),
                     StoreConfirmed(confirmed_at=self.harness.now),
--- a/packages/bluebellbay/bluebellbay/coordination/routing/replicas.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/replicas.py
@@ -182,6 +182,7 @@
     def _handle_store_lost(
         self, event: StoreConnectionLost, now: float
     ) -> None:
+        self.state.store.note_failure(event.asked_at)
         if not self._store_lost:
             self.context.log(
                 "Lost the store; listed replicas are kept until it answers.",
--- a/packages/bluebellbay/bluebellbay/protocol/registry.py
+++ b/packages/bluebellbay/bluebellbay/protocol/registry.py
@@ -66,9 +66,11 @@
     """The store does not respond.
 
     :param reason: Short description of the failure.
+    :param asked_at: Time in seconds when the call was made that has failed.
     """
 
     reason: str
+    asked_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/bluebellbay/bluebellbay/state/store_picture.py
+++ b/packages/bluebellbay/bluebellbay/state/store_picture.py
@@ -24,7 +24,11 @@
         self.confirmed_at = -math.inf
         self.silent_s: float | None = None
         self._answered_at: float | None = None
-        self._returned_at: float | None = None
+        # Failed calls since the last answer, and when the latest was made.
+        self._failures = 0
+        self._asked_at = -math.inf
+        # Until when replicas have time to write lapsed entries again.
+        self._kept_until = -math.inf
 
     def measure_silence(self, now: float) -> float | None:
         """Measure how long the store has not answered.
@@ -34,6 +38,14 @@
         """
         return None if self._answered_at is None else now - self._answered_at
 
+    def note_failure(self, asked_at: float) -> None:
+        """Note that a call has failed.
+
+        :param asked_at: Time in seconds when it was made.
+        """
+        self._failures += 1
+        self._asked_at = asked_at
+
     def note_answer(self, now: float, allowance: StoreAllowance) -> None:
         """Note that the store has answered, be it from a copy.
 
@@ -45,8 +57,23 @@
         """
         self.silent_s = self.measure_silence(now)
         if self.silent_s is None or self.silent_s > allowance.lapse_s:
-            self._returned_at = now
+            self._kept_until = min(
+                now + REGISTRATION_GRACE_S,
+                self._find_trouble(now) + allowance.recovery_delay_s,
+            )
         self._answered_at = now
+        self._failures = 0
+
+    def _find_trouble(self, now: float) -> float:
+        """Find a time that is no later than the end of the silence's cause.
+
+        One call may fail on a connection that went silent just after the last
+        answer. The next one is made on another connection, so its failure
+        shows that the store was away when it was made.
+        """
+        if self._failures > 1:
+            return self._asked_at
+        return now if self._answered_at is None else self._answered_at
 
     def confirm(self, at: float) -> None:
         """Note that all is known that the store had accepted by some time.
@@ -64,7 +91,6 @@
         :param allowance: Limits that apply.
         :returns: Time in seconds; it may have passed.
         """
-        limit = self.confirmed_at + allowance.removal_delay_s
-        if self._returned_at is None:
-            return limit
-        return max(limit, self._returned_at + REGISTRATION_GRACE_S)
+        return max(
+            self.confirmed_at + allowance.removal_delay_s, self._kept_until
+        )
--- a/packages/bluebellbay/bluebellbay/transport/follower.py
+++ b/packages/bluebellbay/bluebellbay/transport/follower.py
@@ -106,6 +106,7 @@
         revision: int | None = None
         listing = self._renew_listing("start")
         while True:
+            asked_at = self._reactor.seconds()
             try:
                 if revision is None:
                     revision = await self._begin_listing(listing)
@@ -118,7 +119,7 @@
                 listing = self._renew_listing("history gone")
                 revision = None
             except StoreUnavailable as error:
-                self._report_lost(str(error))
+                self._report_lost(str(error), asked_at)
                 await backoff.wait()
             except CancelledError:
                 return
@@ -240,9 +241,9 @@
                 self._report_exception(error)
                 await backoff.wait()
 
-    def _report_lost(self, reason: str) -> None:
+    def _report_lost(self, reason: str, asked_at: float) -> None:
         self._lost = True
-        self._report(StoreConnectionLost(reason=reason))
+        self._report(StoreConnectionLost(reason=reason, asked_at=asked_at))
 
     def _report_regained(self) -> None:
         if self._lost:
