Take what nests too deeply for a message that can't be decoded, everywhere

What would be seen: a peer's answer of that form raised in the reading of the connection, and the end of its query was never told, so it waited until its deadline; a settings file of that form ended the watch of the file for good, so that no later change was noticed without a signal, and at a start left a traceback in place of the reason; a peer's query and an answer of the store counted as unexpected errors. Peers are of the same program and the platform writes the settings, so nothing shows that callers met it.

Mend: the errors that decoding raises are named once and caught at each of these; the watch of the settings file goes on whatever loading raises.

Evidence: 6 of 6 new scenarios of features/containment failed on the code before (five by RecursionError, the watch by the last change not being applied), none now. Looked at and sound: own messages between daemons, backend servers' replies, claims (they use one decoder, which catches it), items of the store, callers' heads (no nesting).

--- a/features/containment.feature
+++ b/features/containment.feature
@@ -39,3 +39,21 @@
     Given a caller's connection whose answer can't be encoded
     When the answer is given
     Then the connection was aborted and the error reported
+
+  Scenario Outline: Deep nesting is taken for an unexpected error: <message>
+    Given <message> that nests 3000 levels deep
+    Then it is taken for one that can't be decoded
+
+    Examples:
+      | message              |
+      | a peer's answer      |
+      | a peer's query       |
+      | an answer of a store |
+      | a settings file      |
+      | a daemon's settings  |
+
+  Scenario: Changes of the settings aren't noticed after one that can't be loaded
+    Given a settings file that is watched
+    When it is changed, and its loading raises an unexpected error
+    And it is changed again
+    Then the last change is applied
--- a/packages/bluebellbay/bluebellbay/protocol/codec.py
+++ b/packages/bluebellbay/bluebellbay/protocol/codec.py
@@ -16,7 +16,8 @@
 
 MessageT = TypeVar("MessageT")
 
-_DECODE_EXCEPTIONS = (msgspec.MsgspecError, ValueError, RecursionError)
+# What decoders raise; deep nesting raises an error of its own.
+DECODE_EXCEPTIONS = (msgspec.MsgspecError, ValueError, RecursionError)
 _KIND_BY_TYPE = {cls: cls.__name__ for cls in PEER_MESSAGES}
 _TYPE_BY_KIND = {cls.__name__: cls for cls in PEER_MESSAGES}
 _JSON_ENCODER = msgspec.json.Encoder()
@@ -55,7 +56,7 @@
         decoder = _JSON_DECODERS[cls] = msgspec.json.Decoder(cls)
     try:
         return Ok(decoder.decode(data))
-    except _DECODE_EXCEPTIONS as error:
+    except DECODE_EXCEPTIONS as error:
         return Error(DecodeError(reason=str(error)))
 
 
@@ -100,7 +101,7 @@
         if cls is None:
             return Error(DecodeError(reason="unknown kind"))
         message: Any = msgspec.msgpack.decode(frame.body, type=cls)
-    except _DECODE_EXCEPTIONS as error:
+    except DECODE_EXCEPTIONS as error:
         return Error(DecodeError(reason=str(error)))
     return Ok(
         PeerEnvelope(
--- a/packages/bluebellbay/bluebellbay/settings.py
+++ b/packages/bluebellbay/bluebellbay/settings.py
@@ -510,7 +510,7 @@
         data = yaml.safe_load(path.read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError) as error:
         return Error((SettingsError(key="", reason=str(error)),))
-    except yaml.YAMLError as error:
+    except (yaml.YAMLError, RecursionError) as error:
         message = " ".join(str(error).split())
         return Error(
             (SettingsError(key="", reason=f"invalid YAML: {message}"),)
--- a/packages/bluebellbay/bluebellbay/transport/delegation.py
+++ b/packages/bluebellbay/bluebellbay/transport/delegation.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from bluebellbay.protocol.codec import DECODE_EXCEPTIONS
 from bluebellbay.protocol.delegation import CancelDelegation
 from bluebellbay.protocol.delegation import CheckDelegation
 from bluebellbay.protocol.delegation import DelegateQuery
@@ -85,7 +86,7 @@
             raise MalformedRequest("unknown path")
         try:
             query = msgspec.msgpack.decode(body, type=_Query)
-        except ValueError as error:
+        except DECODE_EXCEPTIONS as error:
             raise MalformedRequest(str(error)) from error
         return dataclasses.replace(
             query.request,
@@ -286,7 +287,7 @@
         return None
     try:
         answer = msgspec.msgpack.decode(end.body, type=_Answer)
-    except ValueError:
+    except DECODE_EXCEPTIONS:
         return None
     if answer.error is not None:
         return ErrorAnswer(exchange=0, kind=answer.error, ran=answer.ran)
--- a/packages/bluebellbayd/bluebellbayd/settings_watcher.py
+++ b/packages/bluebellbayd/bluebellbayd/settings_watcher.py
@@ -24,7 +24,7 @@
 
     :param reactor: The Twisted reactor that schedules the polls.
     :param path: Path of the settings file.
-    :param load: Loads the file; raises ``ValueError`` with the reason if it
+    :param load: Loads the file; raises an exception with the reason if it
         can't.
     :param apply: Called with the settings after each successful load.
     """
@@ -58,10 +58,11 @@
         self._file_signature = self._read_file_signature()
         try:
             settings = self._load(self._path)
-        except ValueError as error:
+        except Exception as error:
+            # Whatever it raises, later changes must still be noticed.
             self._log(
                 "Kept the settings in force because the file can't be loaded",
-                reason=str(error),
+                reason=str(error) or type(error).__name__,
             )
             return
         self._log("Reloaded the settings file")
