Take the pace of store calls and the age of its picture from one allowance

The follower's pace held the same two bounds as the allowance for the store's picture, read twice from the settings and handed on beside each other. There is one allowance now, part of the node's rules; the pause between calls and the checks of a watch are worked out from it, and a changed settings file brings all of them. When a replica without an entry is removed stands in one place, not in its record too. The log line of changed settings tells these limits as well.

Behaviour is meant to stay. A scenario shows that each bound of the settings reaches its limit.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -45,3 +45,6 @@
       | timed out      | may have | 504   |
       | replica failed | may have | 502   |
       | too few shards | may have | 502   |
+
+  Scenario: The limits on the age of what is known are those of the settings
+    Then the settings' times to drain, to apply, of contact and of heartbeats are the limits
--- a/features/steps/containment_steps.py
+++ b/features/steps/containment_steps.py
@@ -28,7 +28,6 @@
 from bluebellbay.protocol.process import ReportHealth
 from bluebellbay.protocol.process import TimerTick
 from bluebellbay.protocol.router_rules import RouterRules
-from bluebellbay.transport.store_pace import StorePace
 from bluebellbay_platform.wire import PlatformWire
 from bluebellbayd.driver import CoreDriver
 from bluebellbayd.failure import build_failure_event
@@ -204,7 +203,6 @@
         replica_wire=PlatformWire(),
         store=FakeStore(1),
         schema=FakeSchema(),
-        pace=StorePace(),
         rng=random.Random(1),
     )
     call_in_reactor(context.daemon.start)
--- a/features/steps/follower_steps.py
+++ b/features/steps/follower_steps.py
@@ -16,6 +16,7 @@
 from bluebellbay.protocol.registry import StoreConnectionRestored
 from bluebellbay.protocol.registry import StoreListed
 from bluebellbay.protocol.router_rules import RouterRules
+from bluebellbay.protocol.store_allowance import StoreAllowance
 from bluebellbay.transport.follower import StoreFollower
 from bluebellbay.transport.store import HistoryCompacted
 from bluebellbay.transport.store import LeaseExpired
@@ -137,7 +138,7 @@
         report=report,
         report_exception=context.exceptions.append,
         rng=random.Random(1),
-        pace=StorePace(apply_limit_s=3.0, catch_up_limit_s=4.0),
+        pace=StorePace(allowance=StoreAllowance()),
         count_nodes=lambda: context.nodes,
     )
     context.follower.start()
@@ -304,7 +305,9 @@
 )
 def check_change_in_time(context, apply_limit_s, catch_up_limit_s, nodes):
     pace = StorePace(
-        apply_limit_s=apply_limit_s, catch_up_limit_s=catch_up_limit_s
+        allowance=StoreAllowance(
+            change_limit_s=apply_limit_s, recovery_limit_s=catch_up_limit_s
+        )
     )
     batch_delay_s = pace.compute_batch_delay(nodes, SINGLE_CHANGE)
     assert batch_delay_s + CALL_TIMEOUT_S < apply_limit_s, pace
@@ -330,7 +333,7 @@
             context.store.revision = 6
         context.clock.advance(0.05)
         late_s = context.clock.seconds() - lost_at
-        assert late_s <= pace.catch_up_limit_s, late_s
+        assert late_s <= pace.allowance.recovery_limit_s, late_s
 
 
 @behave.when("the answer of the watch to revision {revision:d} is lost")
@@ -430,7 +433,9 @@
     "calls that one of {few:d} makes"
 )
 def check_call_rates(context, many, few):
-    pace = StorePace(apply_limit_s=5.0, catch_up_limit_s=5.0)
+    pace = StorePace(
+        allowance=StoreAllowance(change_limit_s=5.0, recovery_limit_s=5.0)
+    )
     few_s = pace.compute_batch_delay(few, SINGLE_CHANGE)
     many_s = pace.compute_batch_delay(many, SINGLE_CHANGE)
     assert 3 * few_s <= many_s, pace
--- a/features/steps/following_node.py
+++ b/features/steps/following_node.py
@@ -12,6 +12,7 @@
 from bluebellbay.protocol.node import NodeEntry
 from bluebellbay.protocol.process import TimerTick
 from bluebellbay.protocol.router_rules import RouterRules
+from bluebellbay.protocol.store_allowance import StoreAllowance
 from bluebellbay.transport.follower import StoreFollower
 from bluebellbay.transport.store_pace import StorePace
 from bluebellbay_platform.schema import PlatformSchema
@@ -46,7 +47,7 @@
             report=lambda event: self.core.step(event, time.time()),
             report_exception=lambda error: None,
             rng=random.Random(1),
-            pace=StorePace(apply_limit_s=3.0, catch_up_limit_s=4.0),
+            pace=StorePace(allowance=StoreAllowance()),
             count_nodes=lambda: nodes,
         )
         self._timers = LoopingCall(self._run_timers)
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -15,6 +15,7 @@
 from bluebellbay.protocol.registry import ConfigurationReceived
 from bluebellbay.protocol.registry import ReplicaRemoved
 from bluebellbay.protocol.registry import ReplicaUpdated
+from bluebellbay.protocol.store_allowance import StoreAllowance
 from bluebellbay.transport.connection import CallAnswered
 from bluebellbay.transport.store import StoreItem
 from bluebellbay.transport.wire import RequestHead
@@ -362,6 +363,28 @@
         )
 
 
+@behave.then(
+    "the settings' times to drain, to apply, of contact and of heartbeats are "
+    "the limits"
+)
+def check_allowance(context):
+    del context
+    bounds = "drain-ms = 6000\nconfig-apply-ms = 5000\ncontact-ms = 7000\n"
+    text = "heartbeat-ms = 900\n" + SETTINGS.replace(
+        "[bounds]\n", "[bounds]\n" + bounds
+    )
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "settings.toml"
+        path.write_text(text, encoding="utf-8")
+        allowance = load_settings(path, metrics_port=1).rules.store
+    assert allowance == StoreAllowance(
+        change_limit_s=5.0,
+        removal_limit_s=6.0,
+        recovery_limit_s=7.0,
+        heartbeat_s=0.9,
+    )
+
+
 def catch_load_error(path):
     try:
         load_settings(path, metrics_port=7390)
--- a/packages/bluebellbay/bluebellbay/coordination/routing/replicas.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/replicas.py
@@ -40,7 +40,8 @@
     def __init__(self, *, context: RoutingContext) -> None:
         super().__init__(context=context)
         self._store_lost = False
-        self._unlisted: dict[str, None] = {}
+        # When each replica without an entry is removed, in seconds.
+        self._unlisted: dict[str, float] = {}
 
     def list_handlers(self) -> EventHandlers:
         """Return the handler of each type of event."""
@@ -58,10 +59,7 @@
 
     def get_wakeup_time(self) -> float | None:
         """Return the time of the next wake-up, if one is scheduled."""
-        return min(
-            (self._find_removal_time(name) for name in self._unlisted),
-            default=None,
-        )
+        return min(self._unlisted.values(), default=None)
 
     def _handle_list(self, event: ReplicasListed, now: float) -> None:
         if event.complete:
@@ -149,19 +147,15 @@
             return
         store = self.state.store
         record.unlisted_at = now
-        record.removal_at = store.compute_removal_time(self.state.rules.store)
-        self._unlisted[record.entry.replica_id] = None
+        removal_at = store.compute_removal_time(self.state.rules.store)
+        self._unlisted[record.entry.replica_id] = removal_at
         self._log_entry(
             "A replica's entry is gone; it is a last resort now.",
             record.entry,
             unconfirmed_s=round(now - store.confirmed_at, 2),
-            left_s=round(record.removal_at - now, 2),
+            left_s=round(removal_at - now, 2),
         )
 
-    def _find_removal_time(self, replica_id: str) -> float:
-        record = self.state.replicas.find(replica_id)
-        return 0.0 if record is None else record.removal_at
-
     def _remove(self, record: ReplicaRecord) -> None:
         self._unlisted.pop(record.entry.replica_id, None)
         self.state.replicas.remove(record.entry.replica_id)
@@ -222,8 +216,8 @@
 
     def _handle_time(self, event: object, now: float) -> None:
         del event
-        for replica_id in tuple(self._unlisted):
-            if now < self._find_removal_time(replica_id):
+        for replica_id, removal_at in tuple(self._unlisted.items()):
+            if now < removal_at:
                 continue
             record = self.state.replicas.find(replica_id)
             if record is None:
--- a/packages/bluebellbay/bluebellbay/coordination/routing/rules.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/rules.py
@@ -29,9 +29,13 @@
             return
         self.state.rules = rules
         self.context.log(
-            "Applied changed retry and shutdown settings.",
+            "Applied changed limits of the settings.",
             retry_share=rules.retries.share,
             retry_slack=rules.retries.slack,
             retry_window_s=rules.retries.window_s,
             grace_s=rules.grace_s,
+            change_limit_s=rules.store.change_limit_s,
+            removal_limit_s=rules.store.removal_limit_s,
+            recovery_limit_s=rules.store.recovery_limit_s,
+            heartbeat_s=rules.store.heartbeat_s,
         )
--- a/packages/bluebellbay/bluebellbay/protocol/store_allowance.py
+++ b/packages/bluebellbay/bluebellbay/protocol/store_allowance.py
@@ -14,14 +14,17 @@
 class StoreAllowance:
     """Limits on how old a node's knowledge of the store may be.
 
+    :param change_limit_s: Time in seconds within which any change takes
+        effect, once the store has accepted it.
     :param removal_limit_s: Time in seconds after which a replica gets no
         request, once the store has accepted that its entry is gone.
     :param recovery_limit_s: Time in seconds after an outage, or a fault of the
-        connections to the store, from which that limit holds again.
+        connections to the store, from which these limits hold again.
     :param heartbeat_s: Time in seconds between two writes of a replica to its
         entry.
     """
 
+    change_limit_s: float = 3.0
     removal_limit_s: float = 3.0
     recovery_limit_s: float = 4.0
     heartbeat_s: float = 1.2
--- a/packages/bluebellbay/bluebellbay/state/replica.py
+++ b/packages/bluebellbay/bluebellbay/state/replica.py
@@ -26,8 +26,6 @@
     :param last_answer_at: Time in seconds of the last answer.
     :param unlisted_at: Time in seconds when the removal of the registry entry
         was read; ``None`` while there is one.
-    :param removal_at: Time in seconds when the replica is removed, if its
-        entry is.
     :param connection_limit: Maximum number of connections from this node.
     """
 
@@ -44,7 +42,6 @@
     ejected_until: float = 0.0
     last_answer_at: float = 0.0
     unlisted_at: float | None = None
-    removal_at: float = 0.0
     connection_limit: int = 0
 
     @property
--- a/packages/bluebellbay/bluebellbay/transport/store_pace.py
+++ b/packages/bluebellbay/bluebellbay/transport/store_pace.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 
+from bluebellbay.protocol.store_allowance import StoreAllowance
 from bluebellbay.transport.store import StoreItem
 
 BATCH_DELAY_S_PER_NODE = 0.1
@@ -15,8 +16,8 @@
 # A batch this large may be incomplete, so the next call is made at once.
 LARGE_BATCH_ITEMS = 200
 LARGE_BATCH_BYTES = 262_144
-# Part of the catch-up limit for the calls that follow a check: the rest of the
-# watch's way, a backoff, and reading the changes.
+# Part of the time after an outage for the calls that follow a check: the rest
+# of the watch's way, a backoff, and reading the changes.
 CATCH_UP_CALLS_S = 1.0
 
 
@@ -24,23 +25,19 @@
 class StorePace:
     """Intervals of checks and batch delays of one node.
 
-    :param apply_limit_s: Time in seconds within which a change must take
-        effect once the store has accepted it.
-    :param catch_up_limit_s: Time in seconds after an outage within which a
-        node must have caught up.
+    :param allowance: How old the knowledge of the store may be.
     """
 
-    apply_limit_s: float = 3.0
-    catch_up_limit_s: float = 4.0
+    allowance: StoreAllowance
 
     @property
     def check_interval_s(self) -> float:
         """Seconds between two checks of a watch.
 
-        Two checks fit into the catch-up limit, as what the first one reads
-        may be older than the outage's end.
+        Two checks fit into the time after an outage, as what the first one
+        reads may be older than the outage's end.
         """
-        return (self.catch_up_limit_s - CATCH_UP_CALLS_S) / 2
+        return (self.allowance.recovery_limit_s - CATCH_UP_CALLS_S) / 2
 
     def compute_batch_delay(
         self, nodes: int, batch: tuple[StoreItem, ...]
@@ -58,6 +55,6 @@
         if sum(len(item.value or b"") for item in batch) >= LARGE_BATCH_BYTES:
             return 0.0
         return min(
-            MAX_BATCH_DELAY_RATIO * self.apply_limit_s,
+            MAX_BATCH_DELAY_RATIO * self.allowance.change_limit_s,
             BATCH_DELAY_S_PER_NODE * nodes,
         )
--- a/packages/bluebellbayd/bluebellbayd/router.py
+++ b/packages/bluebellbayd/bluebellbayd/router.py
@@ -104,7 +104,6 @@
     :param replica_wire: Encoding of requests to replicas.
     :param store: Client of the platform's store.
     :param schema: Decodes the store's items and encodes those of the node.
-    :param pace: Intervals between calls to the store.
     :param rng: The only source of randomness.
     :param log_writer: Log output to flush and whose dropped lines are
         counted; ``None`` if log lines are written elsewhere.
@@ -120,7 +119,6 @@
         replica_wire: ReplicaWire,
         store: StoreClient,
         schema: StoreSchema,
-        pace: StorePace,
         rng: random.Random,
         log_writer: NonBlockingLogWriter | None = None,
     ) -> None:
@@ -189,7 +187,7 @@
             report=self.feed,
             report_exception=self._log_store_fault,
             rng=rng,
-            pace=pace,
+            pace=StorePace(allowance=rules.store),
             count_nodes=lambda: self.core.state.nodes,
         )
         self._log_flush_loop = LoopingCall(self._flush_log)
@@ -228,13 +226,12 @@
         """
         self._driver.feed(event)
 
-    def apply_settings(self, rules: RouterRules, pace: StorePace) -> None:
+    def apply_settings(self, rules: RouterRules) -> None:
         """Apply changed settings without a restart.
 
         :param rules: The new routing rules.
-        :param pace: The new intervals between calls to the store.
         """
-        self._store_follower.pace = pace
+        self._store_follower.pace = StorePace(allowance=rules.store)
         self.feed(RulesReloaded(rules=rules))
 
     def record_unreadable_item(self, key: str, reason: str) -> None:
