Count the pause before a watch as a part of the time until its first check

What callers would see: in a fleet of twelve nodes and more, a node whose connections to the store went silent just before a pause between two calls knew nothing for up to 6.6 s: later than contact-ms, with replicas that are gone in use and an old configuration in force.

Cause: a sum of limits again. A pause of up to 0.4 of the time for a change is followed by a watch whose first check comes after a whole interval, and that check takes 1.5 s to fail.

Mend: the pause counts towards the interval; a watch is checked first after what is left of it, half a second at least. That is one cheap check more for a watch that follows a pause and lasts longer.

--- a/features/follower.feature
+++ b/features/follower.feature
@@ -74,6 +74,17 @@
       | 5     | 5        | 36    |
       | 5     | 5        | 1000  |
 
+  Scenario Outline: Connections that went silent are noticed too late after a long pause
+    Then with limits of <apply> s to apply and <catch_up> s to catch up, a node of <nodes> notices in time that its connections went silent after a change
+
+    Examples:
+      | apply | catch_up | nodes |
+      | 3     | 4        | 4     |
+      | 3     | 4        | 300   |
+      | 5     | 5        | 36    |
+      | 5     | 5        | 1000  |
+      | 6     | 6        | 78    |
+
   Scenario: A watch without changes lasts, and is checked at little cost
     Given a follower of a store at revision 5
     When 20 s pass without a change
--- a/features/steps/follower_steps.py
+++ b/features/steps/follower_steps.py
@@ -320,6 +320,34 @@
     play_outage(context, pace, nodes)
 
 
+@behave.then(
+    "with limits of {apply_limit_s:g} s to apply and {catch_up_limit_s:g} s "
+    "to catch up, a node of {nodes:d} notices in time that its connections "
+    "went silent after a change"
+)
+def check_silence_noticed(context, apply_limit_s, catch_up_limit_s, nodes):
+    start_follower(context, 5)
+    context.nodes = nodes
+    context.follower.pace = StorePace(
+        allowance=StoreAllowance(
+            change_limit_s=apply_limit_s, recovery_limit_s=catch_up_limit_s
+        )
+    )
+    # The nodes are counted before a watch.
+    deliver_change(context, 5, b"value")
+    # The watch since then, and each check, is on a silent connection.
+    context.store.pending_watch.callback(
+        StoreItems(items=SINGLE_CHANGE, revision=6)
+    )
+    silent_at = context.clock.seconds()
+    reads = context.store.reads
+    while context.store.reads == reads:
+        context.clock.advance(0.01)
+    check_s = context.clock.seconds() - silent_at
+    next_call_s = check_s + CALL_TIMEOUT_S + MAX_FIRST_BACKOFF_S
+    assert next_call_s <= catch_up_limit_s, next_call_s
+
+
 def play_outage(context, pace, nodes):
     """The watch's answer is lost; copies are old by most of an interval."""
     start_follower(context, 5)
--- a/packages/bluebellbay/bluebellbay/transport/follower.py
+++ b/packages/bluebellbay/bluebellbay/transport/follower.py
@@ -83,6 +83,8 @@
         self._lost = False
         # When the last answer came that holds all changes until then.
         self._read_at = 0.0
+        # Pause before the present watch.
+        self._batch_delay_s = 0.0
         self._listing: StoreListing | None = None
         self._listing_task: Deferred[None] | None = None
         self._tasks: list[Deferred[None]] = []
@@ -194,6 +196,7 @@
         changes = await self._guard.watch(
             revision,
             watch_s,
+            first_check_s=self.pace.compute_first_check(self._batch_delay_s),
             check_interval_s=self.pace.check_interval_s,
         )
         self._note_read()
@@ -205,9 +208,11 @@
             for event in self._schema.decode_change(item):
                 self._report(event)
         self._report_confirmed()
-        batch_delay_s = self.pace.compute_batch_delay(nodes, changes.items)
-        if batch_delay_s > 0:
-            await deferLater(self._reactor, batch_delay_s)
+        self._batch_delay_s = self.pace.compute_batch_delay(
+            nodes, changes.items
+        )
+        if self._batch_delay_s > 0:
+            await deferLater(self._reactor, self._batch_delay_s)
         return max(revision, changes.revision)
 
     async def _maintain_lease(self) -> None:
--- a/packages/bluebellbay/bluebellbay/transport/store_pace.py
+++ b/packages/bluebellbay/bluebellbay/transport/store_pace.py
@@ -19,6 +19,8 @@
 # Part of the time after an outage for the calls that follow a check: the rest
 # of the watch's way, a backoff, and reading the changes.
 CATCH_UP_CALLS_S = 1.0
+# A watch that is answered at once needs no check.
+MIN_CHECK_DELAY_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -39,6 +41,17 @@
         """
         return (self.allowance.recovery_limit_s - CATCH_UP_CALLS_S) / 2
 
+    def compute_first_check(self, batch_delay_s: float) -> float:
+        """Compute when a watch is checked first.
+
+        The connections may have gone silent as the batch delay before it
+        began, so that delay is a part of the interval.
+
+        :param batch_delay_s: Seconds between the last answer and the watch.
+        :returns: Seconds since the watch began.
+        """
+        return max(MIN_CHECK_DELAY_S, self.check_interval_s - batch_delay_s)
+
     def compute_batch_delay(
         self, nodes: int, batch: tuple[StoreItem, ...]
     ) -> float:
--- a/packages/bluebellbay/bluebellbay/transport/watch_guard.py
+++ b/packages/bluebellbay/bluebellbay/transport/watch_guard.py
@@ -40,12 +40,18 @@
         self._fault: str | None = None
 
     async def watch(
-        self, after: int, wait_s: float, *, check_interval_s: float
+        self,
+        after: int,
+        wait_s: float,
+        *,
+        first_check_s: float,
+        check_interval_s: float,
     ) -> StoreItems:
         """Wait for changes to any key.
 
         :param after: Revision after which to return changes.
         :param wait_s: Longest time in seconds to wait for a change.
+        :param first_check_s: Seconds until the first check.
         :param check_interval_s: Seconds between two checks.
         :returns: The changes; no items if there was none in time.
         :raises HistoryCompacted: If the store no longer holds the changes
@@ -56,7 +62,7 @@
         self._fault = None
         watch = Deferred.fromCoroutine(self._client.watch(after, wait_s))
         checks = Deferred.fromCoroutine(
-            self._check(watch, after, check_interval_s)
+            self._check(watch, after, first_check_s, check_interval_s)
         )
         checks.addErrback(lambda failure: failure.trap(CancelledError))
         try:
@@ -71,11 +77,16 @@
             checks.cancel()
 
     async def _check(
-        self, watch: Deferred[StoreItems], after: int, interval_s: float
+        self,
+        watch: Deferred[StoreItems],
+        after: int,
+        delay_s: float,
+        interval_s: float,
     ) -> None:
         while self._fault is None:
-            await deferLater(self._reactor, interval_s)
+            await deferLater(self._reactor, delay_s)
             self._fault = await self._find_fault(after)
+            delay_s = interval_s
         watch.cancel()
 
     async def _find_fault(self, after: int) -> str | None:
