Give replicas the pause between two calls, too, to be listed again

What callers would see: in a fleet of some twenty machines and more, after an outage of the store in which entries lapsed, all of their replicas were dropped for a moment and added again, with all that was learned of them lost.

Cause: replicas had 2.2 s from the store's first answer to write their entries again. But a node pauses after that answer, which tells what has lapsed, for up to 2.4 s, and reads the entries that came back only then.

Mend: the pause of the fleet is a part of that time; the cap by the limit after an outage holds as before. The pause is worked out in the allowance.

Evidence: features/store_history plays the follower, the routing core and a simulated store on one clock, at 1 to 480 nodes, with cuts, silences, outages and lost history.

--- a/packages/bluebellbay/bluebellbay/coordination/routing/replicas.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/replicas.py
@@ -167,7 +167,8 @@
 
     def _handle_store_answer(self, event: StoreAnswered, now: float) -> None:
         del event
-        self.state.store.note_answer(now, self.state.rules.store)
+        state = self.state
+        state.store.note_answer(now, state.rules.store, state.nodes)
 
     def _handle_confirmation(self, event: StoreConfirmed, now: float) -> None:
         del now
--- a/packages/bluebellbay/bluebellbay/protocol/store_allowance.py
+++ b/packages/bluebellbay/bluebellbay/protocol/store_allowance.py
@@ -2,12 +2,16 @@
 
 import dataclasses
 
-# Part of each limit for what follows a decision: a request on its way.
+# Part of each limit for what is on its way: a call, or a request.
 SEND_MARGIN_S = 0.2
 # An entry lapses after this many heartbeats in a row are missing.
 LAPSE_HEARTBEATS = 3
 # Replicas rewrite entries that lapsed in an outage of the store within 2 s.
-REGISTRATION_GRACE_S = 2.2
+REGISTRATION_S = 2.0
+# A node pauses between two calls that tell changes, the longer the more nodes
+# there are, up to a share of the time in which a change must take effect.
+PAUSE_S_PER_NODE = 0.1
+MAX_PAUSE_RATIO = 0.4
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -46,3 +50,22 @@
         A replica's last write is up to one heartbeat older than the outage.
         """
         return (LAPSE_HEARTBEATS - 1) * self.heartbeat_s
+
+    def compute_pause(self, nodes: int) -> float:
+        """Compute the pause between two calls that tell changes.
+
+        :param nodes: Number of nodes that call the store.
+        :returns: Pause in seconds.
+        """
+        return min(
+            MAX_PAUSE_RATIO * self.change_limit_s, PAUSE_S_PER_NODE * nodes
+        )
+
+    def compute_registration_grace(self, nodes: int) -> float:
+        """Compute how long an entry that lapsed in an outage may be missing.
+
+        :param nodes: Number of nodes that call the store.
+        :returns: Seconds from the store's first answer to the node until the
+            entry has been written again and read.
+        """
+        return REGISTRATION_S + self.compute_pause(nodes) + SEND_MARGIN_S
--- a/packages/bluebellbay/bluebellbay/state/store_picture.py
+++ b/packages/bluebellbay/bluebellbay/state/store_picture.py
@@ -2,7 +2,6 @@
 
 import math
 
-from bluebellbay.protocol.store_allowance import REGISTRATION_GRACE_S
 from bluebellbay.protocol.store_allowance import StoreAllowance
 
 
@@ -46,7 +45,9 @@
         self._failures += 1
         self._asked_at = asked_at
 
-    def note_answer(self, now: float, allowance: StoreAllowance) -> None:
+    def note_answer(
+        self, now: float, allowance: StoreAllowance, nodes: int
+    ) -> None:
         """Note that the store has answered, be it from a copy.
 
         Entries may have lapsed in a silence as long as the shortest outage in
@@ -54,11 +55,12 @@
 
         :param now: Current time in seconds.
         :param allowance: Limits that apply.
+        :param nodes: Number of nodes that call the store.
         """
         self.silent_s = self.measure_silence(now)
         if self.silent_s is None or self.silent_s > allowance.lapse_s:
             self._kept_until = min(
-                now + REGISTRATION_GRACE_S,
+                now + allowance.compute_registration_grace(nodes),
                 self._find_trouble(now) + allowance.recovery_delay_s,
             )
         self._answered_at = now
--- a/packages/bluebellbay/bluebellbay/transport/store_pace.py
+++ b/packages/bluebellbay/bluebellbay/transport/store_pace.py
@@ -10,9 +10,6 @@
 from bluebellbay.protocol.store_allowance import StoreAllowance
 from bluebellbay.transport.store import StoreItem
 
-BATCH_DELAY_S_PER_NODE = 0.1
-# Longest batch delay, as a share of the time in which changes take effect.
-MAX_BATCH_DELAY_RATIO = 0.4
 # A batch this large may be incomplete, so the next call is made at once.
 LARGE_BATCH_ITEMS = 200
 LARGE_BATCH_BYTES = 262_144
@@ -67,7 +64,4 @@
             return 0.0
         if sum(len(item.value or b"") for item in batch) >= LARGE_BATCH_BYTES:
             return 0.0
-        return min(
-            MAX_BATCH_DELAY_RATIO * self.allowance.change_limit_s,
-            BATCH_DELAY_S_PER_NODE * nodes,
-        )
+        return self.allowance.compute_pause(nodes)
