Name what decoding raises in a module that loads nothing else

The routing program loaded the codec of the query core's peers for one name, since, and with it modules that cost a start.

--- a/packages/bluebellbay/bluebellbay/protocol/codec.py
+++ b/packages/bluebellbay/bluebellbay/protocol/codec.py
@@ -9,6 +9,7 @@
 from expression import Result
 import msgspec
 
+from bluebellbay.protocol.decode_failure import DECODE_EXCEPTIONS
 from bluebellbay.protocol.peer import MAX_PEER_MESSAGE_BYTES
 from bluebellbay.protocol.peer import PEER_MESSAGES
 from bluebellbay.protocol.peer import PEER_PROTOCOL_VERSION
@@ -16,8 +17,6 @@
 
 MessageT = TypeVar("MessageT")
 
-# What decoders raise; deep nesting raises an error of its own.
-DECODE_EXCEPTIONS = (msgspec.MsgspecError, ValueError, RecursionError)
 _KIND_BY_TYPE = {cls: cls.__name__ for cls in PEER_MESSAGES}
 _TYPE_BY_KIND = {cls.__name__: cls for cls in PEER_MESSAGES}
 _JSON_ENCODER = msgspec.json.Encoder()
--- a/packages/bluebellbay/bluebellbay/transport/delegation.py
+++ b/packages/bluebellbay/bluebellbay/transport/delegation.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from bluebellbay.protocol.codec import DECODE_EXCEPTIONS
+from bluebellbay.protocol.decode_failure import DECODE_EXCEPTIONS
 from bluebellbay.protocol.delegation import CancelDelegation
 from bluebellbay.protocol.delegation import CheckDelegation
 from bluebellbay.protocol.delegation import DelegateQuery
