Take a batch that the store may have cut for no picture of the present

Cause, from the logs: the node had been turned away for 9 s, and read what it had missed in several large batches. After the first, 12.39 s, it took all that the store had accepted for known; but the store had cut that batch. The removal, accepted at 12.02 s, came with a later one at 12.57 s, and its age was taken for 0.07 s (unconfirmed_s), so the replica was kept until 17.30 s.

Mend: a batch so large that the store may have cut it, by the rule by which no pause follows it, confirms nothing; the limit counts from the answer before.

--- a/features/follower.feature
+++ b/features/follower.feature
@@ -131,3 +131,10 @@
     When the watch fails 1 times
     Then the loss and the return tell for how long the store was silent
     And the listing at the start is reported with its pages and failures
+
+  Scenario: A removal counts as young although a backlog was read before it
+    Given a follower of a store at revision 5
+    When 500 changes arrive at once, as after an outage
+    Then what the store had accepted by then is not taken for known
+    When a change arrives at revision 506
+    Then what the store had accepted by then is taken for known
--- a/features/steps/follower_steps.py
+++ b/features/steps/follower_steps.py
@@ -450,6 +450,18 @@
     context.store.pending_watch.callback(StoreItems(items=items, revision=505))
 
 
+@behave.then("what the store had accepted by then is not taken for known")
+def check_not_confirmed(context):
+    context.confirmed = len(find_events(context, StoreConfirmed))
+    assert context.confirmed == 1, context.confirmed
+
+
+@behave.then("what the store had accepted by then is taken for known")
+def check_confirmed(context):
+    confirmed = len(find_events(context, StoreConfirmed))
+    assert confirmed == context.confirmed + 1, confirmed
+
+
 @behave.then("the next watch starts without a delay")
 def check_no_batch_delay(context):
     assert len(context.store.watched_revisions) == context.calls + 1
--- a/packages/bluebellbay/bluebellbay/transport/follower.py
+++ b/packages/bluebellbay/bluebellbay/transport/follower.py
@@ -207,7 +207,8 @@
         for item in items:
             for event in self._schema.decode_change(item):
                 self._report(event)
-        self._report_confirmed()
+        if not self.pace.may_be_partial(changes.items):
+            self._report_confirmed()
         self._batch_delay_s = self.pace.compute_batch_delay(
             nodes, changes.items
         )
--- a/packages/bluebellbay/bluebellbay/transport/store_pace.py
+++ b/packages/bluebellbay/bluebellbay/transport/store_pace.py
@@ -49,6 +49,16 @@
         """
         return max(MIN_CHECK_DELAY_S, self.check_interval_s - batch_delay_s)
 
+    def may_be_partial(self, batch: tuple[StoreItem, ...]) -> bool:
+        """Tell whether a batch is so large that the store may have cut it.
+
+        :param batch: Changes that a call returned.
+        """
+        if len(batch) >= LARGE_BATCH_ITEMS:
+            return True
+        size = sum(len(item.value or b"") for item in batch)
+        return size >= LARGE_BATCH_BYTES
+
     def compute_batch_delay(
         self, nodes: int, batch: tuple[StoreItem, ...]
     ) -> float:
@@ -60,8 +70,6 @@
         :param batch: Changes that the last call returned.
         :returns: Delay in seconds; 0 after an empty or a large batch.
         """
-        if not batch or len(batch) >= LARGE_BATCH_ITEMS:
-            return 0.0
-        if sum(len(item.value or b"") for item in batch) >= LARGE_BATCH_BYTES:
+        if not batch or self.may_be_partial(batch):
             return 0.0
         return self.allowance.compute_pause(nodes)
