--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -27,6 +27,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 LOOPBACK = "127.0.0.1"
+# Nothing else uses ports of this address, so that one found free stays free.
+NODE_ADDRESS = f"127.71.{os.getpid() % 250 + 1}.{os.getpid() // 250 % 250 + 1}"
 HOST = "calls.example"
 READY_LIMIT_S = 30.0
 # Installations let traffic begin this long after the machines start.
@@ -131,6 +133,8 @@
     def __init__(self, handle: Handler) -> None:
         self._handle = handle
         self._server: asyncio.Server | None = None
+        # The loop itself doesn't keep the tasks of connections.
+        self._tasks: set[asyncio.Task[Any] | None] = set()
         self.port = 0
 
     async def start(self) -> None:
@@ -143,10 +147,13 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        task = asyncio.current_task()
+        self._tasks.add(task)
         with contextlib.suppress(OSError, asyncio.CancelledError):
             while (request := await read_message(reader)) is not None:
                 writer.write(await self._handle(request))
                 await writer.drain()
+        self._tasks.discard(task)
         writer.close()
 
 
@@ -479,7 +486,7 @@
 
     :param count: Number of ports.
     """
-    probes = [socket.create_server((LOOPBACK, 0)) for _ in range(count)]
+    probes = [socket.create_server((NODE_ADDRESS, 0)) for _ in range(count)]
     ports = [probe.getsockname()[1] for probe in probes]
     for probe in probes:
         probe.close()
@@ -502,7 +509,7 @@
 role = "router"
 machine-class = "front"
 serves = ["front"]
-ip-address = "{LOOPBACK}"
+ip-address = "{NODE_ADDRESS}"
 zone = "{node.zone}"
 region = "region-1"
 internal-port-range = [{node.peers}, {node.peers}]
@@ -514,8 +521,8 @@
 [zones]
 {listed}
 [bind-addresses]
-front = "{LOOPBACK}:{node.front}"
-readiness = "{LOOPBACK}:{node.readiness}"
+front = "{NODE_ADDRESS}:{node.front}"
+readiness = "{NODE_ADDRESS}:{node.readiness}"
 [fault-tolerance]
 machines = 1
 zones = 1
@@ -561,7 +568,7 @@
 ) -> Message | None:
     """Send a request on a new connection.
 
-    :param port: Port on the loopback address.
+    :param port: Port of an entry VM.
     :param method: HTTP method.
     :param path: Path and query.
     :param headers: Headers.
@@ -570,7 +577,7 @@
     :returns: The answer; none if there was none.
     :raises OSError: If the connection can't be opened.
     """
-    reader, writer = await asyncio.open_connection(LOOPBACK, port)
+    reader, writer = await asyncio.open_connection(NODE_ADDRESS, port)
     try:
         lines = [f"{method} {path} HTTP/1.1"]
         lines.extend(
