Read and log the rate limits that replicas name

Callers saw nothing. No log line or metric told when a node first met a replica's rate limit, which one, or what it sent since, so that the hypotheses of the incident could not be told apart. The header is decoded once, beside the others: a list or several headers give the lowest rate, and what can't be read (zero too, as nobody could find out that it has ended) changes nothing and is logged within the existing bound. Logs tell when a limit is learnt, held, ended; nothing is decided by it yet.

--- a/packages/bluebellbay/bluebellbay/coordination/routing/context.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/context.py
@@ -172,6 +172,8 @@
         self.attempts[attempt.number] = attempt
         if record.cold_until > now:
             self.selector.permits.record_send(record, now)
+        if record.limit is not None:
+            record.limit.sends.add(now)
         record.in_flight[attempt.number] = attempt.overdue_at
         self._steps.append(
             SendAttempt(
--- a/packages/bluebellbay/bluebellbay/coordination/routing/exchange.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/exchange.py
@@ -12,6 +12,7 @@
 from bluebellbay.coordination.routing.part import RoutingPart
 from bluebellbay.coordination.routing.queueing import spread
 from bluebellbay.coordination.routing.quota_gate import QuotaGate
+from bluebellbay.coordination.routing.rate_limits import RateLimitTracker
 from bluebellbay.coordination.routing.replica_answers import ReplicaAnswerPart
 from bluebellbay.coordination.routing.scatter import ScatterTask
 from bluebellbay.coordination.routing.startup import StartupQueue
@@ -54,6 +55,7 @@
     ) -> None:
         super().__init__(context=context)
         self._answers = answers
+        self._limits = RateLimitTracker(context=context)
         self.quota = QuotaGate(context=context, start=self._start)
         self._tasks: dict[int, RequestTask] = {}
         self._service_selector = WeightedRoundRobin()
@@ -270,6 +272,7 @@
         if event.condition is not UNKNOWN_CONDITION:
             self._answers.note_answer(attempt, event.condition, now)
             self.context.record_condition(attempt.record, event.condition, now)
+        self._limits.note_answer(attempt, event.condition, now)
         reply = event.reply
         if reply.succeeded:
             self.context.record_reply(attempt, now, event.condition)
@@ -283,6 +286,7 @@
         if attempt is None:
             return
         self._answers.note_answer(attempt, event.condition, now)
+        self._limits.note_answer(attempt, event.condition, now)
         if event.kind is RefusalKind.ADDRESS_REUSED:
             self._remove_replica(attempt.record.incarnation, now)
         else:
--- a/packages/bluebellbay/bluebellbay/protocol/replica.py
+++ b/packages/bluebellbay/bluebellbay/protocol/replica.py
@@ -58,6 +58,10 @@
     :param leaving: Whether it gets no requests from now on, as it is leaving.
     :param pause_s: Seconds for which it asks for no requests, above 0;
         ``None`` if the answer doesn't tell.
+    :param rate_per_s: Requests a second that it takes from all nodes together;
+        ``None`` if the answer names no such limit that can be read.
+    :param rate_unreadable: Whether the answer names a limit that can't be
+        read, and so tells neither a limit nor its end.
     :param unreadable: Name and start of each value that can't be read.
     """
 
@@ -65,6 +69,8 @@
     warmup_s: float | None = None
     leaving: bool = False
     pause_s: float | None = None
+    rate_per_s: float | None = None
+    rate_unreadable: bool = False
     unreadable: tuple[str, ...] = ()
 
 
--- a/packages/bluebellbay/bluebellbay/state/replica.py
+++ b/packages/bluebellbay/bluebellbay/state/replica.py
@@ -11,6 +11,7 @@
 from bluebellbay.state.decaying_average import DecayingAverage
 from bluebellbay.state.latency import LatencyWindow
 from bluebellbay.state.pace import PaceRecord
+from bluebellbay.state.rate_limit import RateLimitRecord
 from bluebellbay.state.sliding_window_counter import SlidingWindowCounter
 
 # Bounds the memory for removed incarnations that were leaving or quiet.
@@ -48,6 +49,7 @@
     :param leaving: Whether an answer said that it is leaving. Only another
         incarnation is usable again.
     :param quiet_until: Time in seconds until which it asked for no requests.
+    :param limit: The rate limit that it last named; ``None`` if it never did.
     """
 
     entry: ReplicaEntry
@@ -75,6 +77,7 @@
     foreign_load: int = 0
     leaving: bool = False
     quiet_until: float = 0.0
+    limit: RateLimitRecord | None = None
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/packages/bluebellbayd/bluebellbayd/routing_metrics.py
+++ b/packages/bluebellbayd/bluebellbayd/routing_metrics.py
@@ -134,6 +134,11 @@
             "Replicas known that asked for no requests for some time.",
             registry=registry,
         )
+        self._limited_replicas = Gauge(
+            "bluebellbay_limited_replicas",
+            "Replicas known that name a limit on their rate of requests.",
+            registry=registry,
+        )
         self._evacuated_domains = Gauge(
             "bluebellbay_evacuated_domains",
             "Failure domains that are evacuated, known or not.",
@@ -278,6 +283,12 @@
         self._quiet_replicas.set(
             sum(record.quiet_until > now for record in state.replicas)
         )
+        self._limited_replicas.set(
+            sum(
+                record.limit is not None and record.limit.per_s is not None
+                for record in state.replicas
+            )
+        )
         self._configuration_version.set(state.routes.version)
         self._replicas.set(len(state.replicas))
         self._paced_replicas.set(
