Show that a fleet passes a replica's rate limit

Callers: a replica in need gets several times the rate that it takes, so its own answers and those of others at it come late. The scenarios play 4, 12, 78 and 480 routing cores on a clock of their own and check the users' rule at the replica.

--- a/features/rate_limit.feature
+++ b/features/rate_limit.feature
@@ -16,3 +16,28 @@
 
   Scenario: A replica's rate limit is forwarded as this node's
     Then no caller sees a replica's rate limit
+
+  Scenario Outline: A replica gets more than its limit: <nodes> nodes, <load>
+    Given <nodes> nodes whose callers send <per_s> <load> a second
+    When a replica of each service names a limit of <rate> for 12 s
+    Then no 4 s bring it more than one and a half times that and 5 requests
+
+    Examples:
+      | nodes | load     | per_s | rate |
+      | 4     | requests | 60    | 5    |
+      | 4     | queries  | 20    | 2    |
+      | 78    | requests | 90    | 3    |
+      | 78    | queries  | 40    | 0.4  |
+      | 480   | requests | 200   | 3    |
+
+  Scenario Outline: A limit is passed while nodes are <event>
+    Given 12 nodes whose callers send 90 requests a second
+    When a replica of each service names a limit of 4 for 12 s
+    And nodes are <event> meanwhile
+    Then no 4 s bring it more than one and a half times that and 5 requests
+
+    Examples:
+      | event                |
+      | cut off              |
+      | restarted            |
+      | restarted in a crash |
