Divide a replica's rate limit among lenders of all nodes

The class of fault: a limit on the sum over nodes that no node can keep alone.

Now one node in each failure domain has a part of what the limit allows in 5 s, for itself and to lend. A leg asks a lender before the send, goes elsewhere, or is refused at once. The end is told by answers, to the lenders, and by them to who asks. Ruled out: even shares (78 nodes at 3 a second have 0.2 requests in 5 s each), each node slowing down by itself (no bound on the sum), the reserve of quotas (used twice by two starts).

New ones: 4, 78 and 480 nodes use at least 0.8 of what limits allow, the end reaches all within 20 s, random histories of cuts, starts and crashes, three programs over sockets.

--- a/features/rate_limit.feature
+++ b/features/rate_limit.feature
@@ -41,3 +41,37 @@
       | cut off              |
       | restarted            |
       | restarted in a crash |
+
+  Scenario Outline: What a limited replica takes is left unused: <nodes> nodes
+    Given <nodes> nodes whose callers send <per_s> requests a second
+    When each replica names a limit of <rate> for 30 s
+    Then at least <least> of what the limits allow is used
+    And what doesn't fit is refused within 0.1 s, with at most 3 asks a request
+
+    Examples:
+      | nodes | per_s | rate | least |
+      | 4     | 60    | 5    | 0.8   |
+      | 78    | 60    | 1    | 0.8   |
+      | 480   | 60    | 2    | 0.8   |
+
+  Scenario Outline: Nodes go on keeping to a limit that has ended: <nodes> nodes
+    Given <nodes> nodes whose callers send <per_s> requests a second
+    When a replica of each service names a limit of <rate> for 12 s
+    Then 20 s after its end it gets at least half of an equal share again
+
+    Examples:
+      | nodes | per_s | rate |
+      | 4     | 60    | 0.1  |
+      | 78    | 90    | 3    |
+      | 480   | 200   | 0.5  |
+
+  Scenario: A limit is passed in some history of a fleet
+    Then over random histories of a fleet no limit is passed
+
+  Scenario: Programs pass a limit together, or can't lend each other what it allows
+    Given 3 programs in 3 failure domains, which have known each other for 13 s
+    When both posting servers name a limit of 2 and 60 postings come
+    Then each of them ran at most 15, and programs lent each other some
+    And each posting that was refused has not run, and says when to return
+    When the limits end
+    Then within 10 s all of 30 postings run
--- a/features/steps/fake_platform.py
+++ b/features/steps/fake_platform.py
@@ -196,6 +196,8 @@
         # Values of the headers that tell of leaving and of a pause, if any.
         self.leaving = None
         self.retry_after = None
+        # Value of the header that names a rate limit, if any.
+        self.rate_limit = None
         # ``serve`` answers, ``break`` runs the request and closes the
         # connection without an answer, ``refuse`` answers 503 without running.
         # The modes in ``MISBEHAVIOURS`` run it and send other bytes.
@@ -254,6 +256,8 @@
             echo["Bluebellbay_Warmup_Ms"] = str(self._compute_warmup_ms())
         if self.leaving is not None:
             echo["Server_Leaving"] = self.leaving
+        if self.rate_limit is not None:
+            echo["Server_Limit"] = self.rate_limit
         if self.mode == "refuse":
             if self.retry_after is not None:
                 echo["Retry_After"] = self.retry_after
--- a/features/steps/limit_fleet.py
+++ b/features/steps/limit_fleet.py
@@ -23,6 +23,11 @@
 from bluebellbay.protocol.exchange import SendAttempt
 from bluebellbay.protocol.node import NodeEntry
 from bluebellbay.protocol.process import TimerTick
+from bluebellbay.protocol.rate_permit import AskForPermit
+from bluebellbay.protocol.rate_permit import PermitAnswer
+from bluebellbay.protocol.rate_permit import PermitAnswered
+from bluebellbay.protocol.rate_permit import PermitAsked
+from bluebellbay.protocol.rate_permit import PermitFailed
 from bluebellbay.protocol.registry import ConfigurationReceived
 from bluebellbay.protocol.registry import EvacuationsListed
 from bluebellbay.protocol.registry import NodesListed
@@ -71,7 +76,9 @@
         self.domain = DOMAINS[number % len(DOMAINS)]
         self.boot = next(fleet.boots)
         self.alive = True
+        # Whether it can't reach the store, or other nodes.
         self.cut = False
+        self.lost = False
         self.next_tick = None
         rules = RouterRules(
             node=self.name,
@@ -127,9 +134,19 @@
     :param count: Number of nodes.
     :param per_s: Requests a second that callers send, over all nodes.
     :param wide: Whether they are queries over three shards.
+    :param first_start: Whether the nodes know that no other came before.
     """
 
-    def __init__(self, *, count, per_s, seed, replicas=3, wide=False):
+    def __init__(
+        self,
+        *,
+        count,
+        per_s,
+        seed,
+        replicas=3,
+        wide=False,
+        first_start=False,
+    ):
         self.rng = random.Random(seed)
         self.count = count
         self.per_s = per_s
@@ -140,6 +157,8 @@
         self.answers = collections.Counter()
         self.log = []
         self.exchanges = {}
+        self.asks = 0
+        self.asked = {}
         self._events = []
         self._sequence = itertools.count()
         self._exchange = itertools.count(1)
@@ -162,7 +181,7 @@
             for copy in range(replicas)
         }
         for number in range(count):
-            node = FleetNode(self, number, first_start=False)
+            node = FleetNode(self, number, first_start=first_start)
             self.nodes.append(node)
             self.members[node.name] = node.entry
         for node in self.nodes:
@@ -240,11 +259,28 @@
             self._note_answer(command)
         elif hasattr(command, "sentence"):
             self.log.append((self.now, node.name, command))
-        else:
-            self.execute_other(node, command)
+        elif isinstance(command, AskForPermit):
+            self.asks += 1
+            self.call(WAY_S, self._deliver_ask, node, command)
+        elif isinstance(command, PermitAnswer):
+            asker, attempt = self.asked.pop(command.exchange)
+            answered = PermitAnswered(
+                attempt=attempt,
+                granted=command.granted,
+                room_s=command.room_s,
+                news=command.news,
+            )
+            self.call(WAY_S, asker.feed, answered)
 
-    def execute_other(self, node, command):
-        """Handle a command that most worlds don't need."""
+    def _deliver_ask(self, node, command):
+        peers = [item for item in self.nodes if item.name == command.peer.name]
+        if not peers or not peers[0].alive or node.lost or peers[0].lost:
+            failed = PermitFailed(attempt=command.attempt, reason="time-out")
+            self.call(command.timeout_s, node.feed, failed)
+            return
+        number = next(self._exchange)
+        self.asked[number] = (node, command.attempt)
+        peers[0].feed(PermitAsked(exchange=number, ask=command.ask))
 
     def _note_answer(self, command):
         _, arrived_at = self.exchanges.pop(command.exchange)
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -1,9 +1,19 @@
 """Steps about rate limits that replicas name in their answers."""
 
+import random
+import time
+
 from answer_history import build_headers
 import behave
 from limit_fleet import find_worst_excess
 from limit_fleet import LimitFleet
+from platform_world import PlatformWorld
+from platform_world import wait_for
+from query_history_steps import hold_for_all
+from quota_process_steps import DOMAINS
+from quota_process_steps import read_metric
+from quota_process_steps import send
+from routing_history_steps import SEEDS
 
 from bluebellbay.transport.connection import CallAnswered
 from bluebellbay_platform.condition import decode_condition
@@ -93,3 +103,193 @@
         for replica in list_limited(fleet)
     }
     assert max(excess.values()) <= 0, (excess, fleet.answers)
+
+
+@behave.when("each replica names a limit of {rate:g} for {seconds:g} s")
+def step_limit_all(context, rate, seconds):
+    fleet = context.fleet
+    for replica in fleet.replicas.values():
+        replica.rates.append((fleet.now, rate))
+    context.answers = dict(fleet.answers)
+    context.asks = fleet.asks
+    # Requests that arrive before the nodes are told don't count.
+    fleet.run(10.0)
+    context.began_at = fleet.now
+    fleet.run(seconds - 10.0)
+
+
+@behave.then("at least {least:g} of what the limits allow is used")
+def check_used(context, least):
+    fleet = context.fleet
+    seconds = fleet.now - context.began_at
+    used = allowed = 0
+    for replica in fleet.replicas.values():
+        allowed += replica.get_rate(fleet.now) * seconds
+        used += sum(at >= context.began_at for at, _ in replica.arrivals)
+        assert find_worst_excess(replica, until=fleet.now) <= 0
+    assert used >= least * allowed, (used, allowed, fleet.answers)
+
+
+@behave.then(
+    "what doesn't fit is refused within 0.1 s, with at most {most:d} asks a "
+    "request"
+)
+def check_refusals(context, most):
+    answers = context.fleet.answers
+    refused = answers["refused"] - context.answers.get("refused", 0)
+    assert refused
+    assert not answers["slow refusals"], answers
+    asks = context.fleet.asks - context.asks
+    requests = sum(answers.values()) - sum(context.answers.values())
+    assert asks <= most * requests, (asks, requests)
+
+
+@behave.then(
+    "{seconds:g} s after its end it gets at least half of an equal share again"
+)
+def check_end(context, seconds):
+    fleet = context.fleet
+    fleet.run(12.0 + seconds)
+    began_at = fleet.now
+    fleet.run(8.0)
+    replicas = fleet.replicas.values()
+    counts = [
+        sum(at >= began_at for at, _ in replica.arrivals)
+        for replica in replicas
+    ]
+    (limited,) = list_limited(fleet)
+    got = sum(at >= began_at for at, _ in limited.arrivals)
+    assert got >= 0.5 * sum(counts) / len(counts), (got, counts)
+
+
+def play_history(seed):
+    """Play a fleet whose nodes restart and are cut off while limits hold."""
+    rng = random.Random(seed)
+    fleet = LimitFleet(
+        count=rng.choice((2, 4, 9)),
+        per_s=rng.choice((20, 60)),
+        seed=seed,
+        wide=rng.random() < 0.3,
+        first_start=rng.random() < 0.3,
+    )
+    fleet.run(rng.choice((1.0, SETTLING_S)))
+    for replica in rng.sample(list(fleet.replicas.values()), 2):
+        begin = fleet.now + rng.uniform(0.0, 3.0)
+        rate = rng.choice((0.05, 0.7, 3.0, 10.0))
+        replica.rates += [(begin, rate), (begin + 15.0, None)]
+    for _ in range(rng.randrange(6)):
+        number = rng.randrange(fleet.count)
+        at_s = rng.uniform(0.0, 15.0)
+        kind = rng.choice(("cut", "lost", "restart", "crash"))
+        if kind in {"cut", "lost"}:
+            node = fleet.nodes[number]
+            fleet.call(at_s, setattr, node, kind, True)
+            fleet.call(at_s + rng.uniform(0, 14.0), setattr, node, kind, False)
+        else:
+            fleet.call(at_s, restart_one, fleet, number, kind == "restart")
+    fleet.run(20.0)
+    return fleet
+
+
+def restart_one(fleet, number, notice):
+    if fleet.nodes[number].alive:
+        fleet.restart(number, down_s=fleet.rng.uniform(0, 4), notice=notice)
+
+
+@behave.then("over random histories of a fleet no limit is passed")
+def check_histories(context):
+    del context
+
+    @hold_for_all(SEEDS, examples=25)
+    def check(seed):
+        fleet = play_history(seed)
+        for replica in fleet.replicas.values():
+            if replica.rates:
+                excess = find_worst_excess(replica, until=fleet.now)
+                assert excess <= 0, (excess, replica.rates)
+
+    check()
+
+
+@behave.given(
+    "3 programs in 3 failure domains, which have known each other for {age:g} "
+    "s"
+)
+def step_programs(context, age):
+    world = context.platform = PlatformWorld(programs=len(DOMAINS))
+    context.add_cleanup(world.stop)
+    world.configure(8, "/post/", world.shards)
+    for program, domain in zip(world.programs, DOMAINS, strict=True):
+        program.start(zone=domain, zones=DOMAINS)
+    for program in world.programs:
+        assert wait_for(program.is_ready), program.log.read_text()
+        assert wait_for(
+            lambda p=program: read_metric(p, "bluebellbay_nodes ") == 3
+        )
+    time.sleep(age)
+
+
+@behave.when(
+    "both posting servers name a limit of {rate} and {count:d} postings come"
+)
+def step_limited_postings(context, rate, count):
+    world = context.platform
+    for server in world.posting_servers:
+        server.rate_limit = rate
+    context.answers = [
+        send(world.programs[number % len(world.programs)])
+        for number in range(count)
+    ]
+
+
+@behave.then(
+    "each of them ran at most {most:d}, and programs lent each other some"
+)
+def check_programs(context, most):
+    world = context.platform
+    # 10 of the limit, and the first of each program and server.
+    counts = [len(server.ran) for server in world.posting_servers]
+    assert max(counts) <= most, counts
+    loans = sum(
+        read_metric(
+            program, 'bluebellbay_permit_loans_total{answer="granted"}'
+        )
+        for program in world.programs
+    )
+    assert loans, counts
+
+
+@behave.then(
+    "each posting that was refused has not run, and says when to return"
+)
+def check_refused_postings(context):
+    answers = context.answers
+    served = [answer for answer in answers if answer[0] == 200]
+    refused = [answer for answer in answers if answer[0] != 200]
+    ran = sum(len(item.ran) for item in context.platform.posting_servers)
+    assert len(served) == ran, answers
+    assert refused
+    for status, retry_after, seconds in refused:
+        assert status == 503, refused
+        assert 0 < float(retry_after) <= 7.5, retry_after
+        assert seconds < 1.0, seconds
+
+
+@behave.when("the limits end")
+def step_limits_end(context):
+    for server in context.platform.posting_servers:
+        server.rate_limit = None
+
+
+@behave.then("within {seconds:g} s all of {count:d} postings run")
+def check_all_run(context, seconds, count):
+    programs = context.platform.programs
+
+    def all_run():
+        answers = [
+            send(programs[number % len(programs)])[0]
+            for number in range(count)
+        ]
+        return answers.count(200) == count
+
+    assert wait_for(all_run, seconds)
--- a/packages/bluebellbay/bluebellbay/coordination/routing/context.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/context.py
@@ -17,6 +17,8 @@
 from bluebellbay.coordination.routing.pace import judge_reply
 from bluebellbay.coordination.routing.pace import note_answer
 from bluebellbay.coordination.routing.pace import Verdict
+from bluebellbay.coordination.routing.permit_borrower import PermitBorrower
+from bluebellbay.coordination.routing.rate_limits import RateLimitTracker
 from bluebellbay.coordination.routing.remainders import RemainderTable
 from bluebellbay.coordination.routing.retry_budget import RetryBudgetTable
 from bluebellbay.coordination.routing.selection import ReplicaSelector
@@ -30,6 +32,7 @@
 from bluebellbay.protocol.exchange import SendAttempt
 from bluebellbay.protocol.process import LogDecision
 from bluebellbay.protocol.process import LogField
+from bluebellbay.protocol.registry import SetConnectionLimit
 from bluebellbay.protocol.replica import ReplicaCondition
 from bluebellbay.protocol.replica import UNKNOWN_CONDITION
 from bluebellbay.state.peer import PeerRecord
@@ -75,6 +78,8 @@
         self.remote_suspected = False
         self.suspected_peers: set[str] = set()
         self.delegations = DelegationTable(context=self)
+        self.limits = RateLimitTracker(context=self)
+        self.borrower = PermitBorrower(context=self)
         self._steps: list[Output] = []
         self._last_number = 0
         self._next_report_at = 0.0
@@ -129,14 +134,31 @@
         self._last_number += 1
         return self._last_number
 
+    def withdraw_waiting(self, record: ReplicaRecord) -> None:
+        """Fail the requests that wait for a connection, as not sent.
+
+        :param record: The replica.
+        """
+        if record.leaving or record.connection_limit == 0:
+            return
+        for limit in (0, record.connection_limit):
+            self.emit(SetConnectionLimit(replica=record.entry, limit=limit))
+
     def send(
-        self, leg: Leg, record: ReplicaRecord, *, is_retry: bool, now: float
+        self,
+        leg: Leg,
+        record: ReplicaRecord,
+        *,
+        is_retry: bool,
+        now: float,
+        is_lent: bool = False,
     ) -> Attempt:
         """Send a leg to a replica and schedule its hedge.
 
         Only idempotent requests are hedged.
 
         :param is_retry: Whether it was charged to the retry budget.
+        :param is_lent: Whether a lender of the replica's rate limit counts it.
         :param now: Current Unix time in seconds.
         """
         task = leg.task
@@ -173,7 +195,9 @@
         if record.cold_until > now:
             self.selector.permits.record_send(record, now)
         if record.limit is not None:
-            record.limit.sends.add(now)
+            record.limit.note_send(now)
+            if not is_lent:
+                self.selector.rate_permits.spend(record, now)
         record.in_flight[attempt.number] = attempt.overdue_at
         self._steps.append(
             SendAttempt(
--- a/packages/bluebellbay/bluebellbay/coordination/routing/core.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/core.py
@@ -11,6 +11,7 @@
 from bluebellbay.coordination.routing.lifecycle import LifecyclePart
 from bluebellbay.coordination.routing.nodes import NodePart
 from bluebellbay.coordination.routing.quota_part import QuotaPart
+from bluebellbay.coordination.routing.rate_limit_part import RateLimitPart
 from bluebellbay.coordination.routing.replica_answers import ReplicaAnswerPart
 from bluebellbay.coordination.routing.replicas import ReplicaPart
 from bluebellbay.coordination.routing.rules import RulesPart
@@ -40,6 +41,7 @@
                 NodePart(context=self.context),
                 QuotaPart(context=self.context, gate=exchanges.quota),
                 SlackPart(context=self.context),
+                RateLimitPart(context=self.context),
                 answers,
                 exchanges,
                 IsolationPart(context=self.context),
--- a/packages/bluebellbay/bluebellbay/coordination/routing/exchange.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/exchange.py
@@ -12,7 +12,6 @@
 from bluebellbay.coordination.routing.part import RoutingPart
 from bluebellbay.coordination.routing.queueing import spread
 from bluebellbay.coordination.routing.quota_gate import QuotaGate
-from bluebellbay.coordination.routing.rate_limits import RateLimitTracker
 from bluebellbay.coordination.routing.replica_answers import ReplicaAnswerPart
 from bluebellbay.coordination.routing.scatter import ScatterTask
 from bluebellbay.coordination.routing.startup import StartupQueue
@@ -55,7 +54,6 @@
     ) -> None:
         super().__init__(context=context)
         self._answers = answers
-        self._limits = RateLimitTracker(context=context)
         self.quota = QuotaGate(context=context, start=self._start)
         self._tasks: dict[int, RequestTask] = {}
         self._service_selector = WeightedRoundRobin()
@@ -272,7 +270,7 @@
         if event.condition is not UNKNOWN_CONDITION:
             self._answers.note_answer(attempt, event.condition, now)
             self.context.record_condition(attempt.record, event.condition, now)
-        self._limits.note_answer(attempt, event.condition, now)
+        self.context.limits.note_answer(attempt, event.condition, now)
         reply = event.reply
         if reply.succeeded:
             self.context.record_reply(attempt, now, event.condition)
@@ -286,7 +284,7 @@
         if attempt is None:
             return
         self._answers.note_answer(attempt, event.condition, now)
-        self._limits.note_answer(attempt, event.condition, now)
+        self.context.limits.note_answer(attempt, event.condition, now)
         if event.kind is RefusalKind.ADDRESS_REUSED:
             self._remove_replica(attempt.record.incarnation, now)
         else:
@@ -312,9 +310,13 @@
         if attempt is None or not attempt.active:
             return
         record = attempt.record
-        # What waited for a connection to a replica that is leaving or quiet
-        # says nothing of its health.
-        withdrawn = record.leaving or record.quiet_until > now
+        # What waited for a connection to a replica that is leaving, quiet or
+        # limited says nothing of its health.
+        withdrawn = (
+            record.leaving
+            or record.quiet_until > now
+            or record.rate_per_s is not None
+        )
         if event.sent or not withdrawn:
             self.context.record_failure(attempt, event.reason, now)
         attempt.leg.handle_failure(attempt, sent=event.sent, now=now)
--- a/packages/bluebellbay/bluebellbay/coordination/routing/forward.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/forward.py
@@ -17,6 +17,7 @@
     FailureReason.NO_REPLICA: RoutingErrorKind.NO_REPLICA,
     FailureReason.REFUSED: RoutingErrorKind.REFUSED,
     FailureReason.FAILED: RoutingErrorKind.REPLICA_FAILED,
+    FailureReason.LIMITED: RoutingErrorKind.OVERLOADED,
 }
 # Share of the retry budget that hedges may use.
 HEDGE_BUDGET_SHARE = 0.7
--- a/packages/bluebellbay/bluebellbay/coordination/routing/leg.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/leg.py
@@ -26,6 +26,7 @@
     NO_REPLICA = "no replica"
     REFUSED = "refused"
     FAILED = "failed"
+    LIMITED = "over the rate limits of the replicas"
 
 
 class Leg:
@@ -40,6 +41,7 @@
     :param is_repeat: Whether another node may have sent an attempt before,
         which counts as one that may have run.
     :ivar possible_runs: Attempts that may have run the request.
+    :ivar permit_asks: Asks of lenders for a request to a limited replica.
     """
 
     def __init__(
@@ -62,6 +64,11 @@
         self._tried: set[str] = set()
         self._refused: set[str] = set()
         self._reason = FailureReason.NO_REPLICA
+        self.permit_asks = 0
+        # Whether a lender was asked for a permit, and for a retry.
+        self._awaits_permit = False
+        self._denied: set[str] = set()
+        self._asked_for_retry = False
         ranks = context.ranks.get(service)
         if ranks is None:
             ranks = context.ranks[service] = RankHistory()
@@ -94,7 +101,50 @@
         if not self._is_repeat:
             # The other node has counted the request.
             self._context.budgets.get(self.service, now).record_request(now)
-        self._send_initial(now, is_retry=False)
+        record = self._choose(now)
+        if self._ask_for_permit(record, now, is_retry=False):
+            return
+        self._send_initial(record, now)
+
+    def use_permit(self, record: ReplicaRecord, now: float) -> None:
+        """Send to a replica that a lender has permitted one request to.
+
+        :param record: The replica.
+        :param now: Current time in seconds.
+        """
+        if self.closed:
+            return
+        if not self._context.state.is_usable(record, now):
+            self.go_without_permit(now)
+            return
+        self._awaits_permit = False
+        if self._asked_for_retry and not self._charge_retry(now):
+            self._fail(now)
+            return
+        self._send(
+            record, is_retry=self._asked_for_retry, now=now, is_lent=True
+        )
+
+    def go_without_permit(self, now: float) -> None:
+        """Send to another replica, or fail, as no lender has room.
+
+        :param now: Current time in seconds.
+        """
+        if self.closed:
+            return
+        self._awaits_permit = False
+        is_retry = self._asked_for_retry
+        record = self._choose(now)
+        if record is None and self._ask_for_permit(
+            None, now, is_retry=is_retry
+        ):
+            return
+        if record is None or not is_retry:
+            self._send_initial(record, now)
+        elif self._charge_retry(now):
+            self._send(record, is_retry=True, now=now)
+        else:
+            self._fail(now)
 
     def hedge(self, attempt: Attempt, now: float) -> None:
         """Send the request to a second replica if the budget allows it.
@@ -161,7 +211,7 @@
 
         :param now: Current Unix time in seconds.
         """
-        if self.closed or self._in_flight:
+        if self._is_busy:
             return
         if not self._may_send_again():
             self._fail(now)
@@ -192,6 +242,11 @@
                 self._context.cancel_later(attempt, now)
         self._in_flight = []
 
+    @property
+    def _is_busy(self) -> bool:
+        """Whether nothing more is to be sent now."""
+        return bool(self.closed or self._in_flight or self._awaits_permit)
+
     def _may_send_again(self) -> bool:
         if self.send_count >= MAX_SENDS or not self.task.may_retry:
             return False
@@ -201,7 +256,7 @@
 
     def _retry_or_fail(self, reason: FailureReason, now: float) -> None:
         self._reason = reason
-        if self.closed or self._in_flight:
+        if self._is_busy:
             return
         if not self._may_send_again():
             self._fail(now)
@@ -209,21 +264,58 @@
         self._send_retry(now, is_hedge=False)
 
     def _send_retry(self, now: float, *, is_hedge: bool) -> None:
-        context = self._context
-        record = context.selector.choose(
-            self.service, self.task.route, self._tried, now
-        )
+        record = self._choose(now)
+        if not is_hedge and self._ask_for_permit(record, now, is_retry=True):
+            return
         if record is None:
             if not is_hedge:
                 self._schedule_retry(now)
             return
-        if not self._may_charge(now):
+        if not self._charge_retry(now):
             if not is_hedge:
                 self._fail(now)
             return
-        self.task.repeats += 1
         self._send(record, is_retry=True, now=now)
 
+    def _choose(self, now: float) -> ReplicaRecord | None:
+        return self._context.selector.choose(
+            self.service, self.task.route, self._tried, now
+        )
+
+    def _ask_for_permit(
+        self, best: ReplicaRecord | None, now: float, *, is_retry: bool
+    ) -> bool:
+        """Ask a lender if a replica with a rate limit would serve better.
+
+        :param best: The best replica that needs no permit, if any.
+        :returns: Whether the leg waits for the lender's answer.
+        """
+        context = self._context
+        while not self._awaits_permit:
+            record = context.selector.find_limited(
+                self.service,
+                self.task.route,
+                self._tried | self._denied,
+                best,
+                now,
+            )
+            if record is None:
+                return False
+            if best is None and self._reason is FailureReason.NO_REPLICA:
+                self._reason = FailureReason.LIMITED
+            self._denied.add(record.entry.replica_id)
+            self._asked_for_retry = is_retry
+            self._awaits_permit = context.borrower.ask(
+                self, record, now, urgent=best is None
+            )
+        return True
+
+    def _charge_retry(self, now: float) -> bool:
+        if not self._may_charge(now):
+            return False
+        self.task.repeats += 1
+        return True
+
     def _may_charge(self, now: float) -> bool:
         """Charge a retry, unless the rest is left to higher ranks."""
         budget = self._context.budgets.get(self.service, now)
@@ -235,19 +327,23 @@
             return False
         return budget.try_acquire(now)
 
-    def _send_initial(self, now: float, *, is_retry: bool) -> None:
-        record = self._context.selector.choose(
-            self.service, self.task.route, self._tried, now
-        )
+    def _send_initial(self, record: ReplicaRecord | None, now: float) -> None:
         if record is None:
             self._fail(now)
             return
-        self._send(record, is_retry=is_retry, now=now)
+        self._send(record, is_retry=False, now=now)
 
     def _send(
-        self, record: ReplicaRecord, *, is_retry: bool, now: float
+        self,
+        record: ReplicaRecord,
+        *,
+        is_retry: bool,
+        now: float,
+        is_lent: bool = False,
     ) -> None:
-        attempt = self._context.send(self, record, is_retry=is_retry, now=now)
+        attempt = self._context.send(
+            self, record, is_retry=is_retry, now=now, is_lent=is_lent
+        )
         self._in_flight.append(attempt)
         self._tried.add(record.entry.replica_id)
         self.possible_runs += 1
@@ -255,7 +351,7 @@
 
     def _schedule_retry(self, now: float) -> None:
         selector = self._context.selector
-        if not self._refused or not selector.has_usable(self.service, now):
+        if not self._refused or not selector.has_permitted(self.service, now):
             self._fail(now)
             return
         delay_s = INITIAL_RETRY_DELAY_S * 2**self.send_count
--- a/packages/bluebellbay/bluebellbay/coordination/routing/lender_directory.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/lender_directory.py
@@ -73,7 +73,7 @@
         found = []
         for domain in limits.domains:
             lender = find_lender(self.list_members(domain), account)
-            if lender is None or self._is_avoided(lender, now):
+            if lender is None or self.is_avoided(lender, now):
                 continue
             distance_s = self._round_trips.get(lender, 0.0)
             found.append((domain != own, distance_s, lender))
@@ -109,12 +109,18 @@
             seconds - former
         )
 
-    def _is_avoided(self, lender: str, now: float) -> bool:
+    def is_avoided(self, lender: str, now: float) -> bool:
+        """Tell whether a lender is asked for nothing now.
+
+        :param lender: Its name.
+        :param now: Current time in seconds.
+        """
         if lender == self._node:
             return False
-        return self._avoided_until.get(
-            lender, 0.0
-        ) > now or not self._state.peers[lender].is_available(now)
+        if self._avoided_until.get(lender, 0.0) > now:
+            return True
+        peer = self._state.peers.get(lender)
+        return peer is None or not peer.is_available(now)
 
     def _list_peers(self) -> list[PeerRecord]:
         return [
--- a/packages/bluebellbay/bluebellbay/coordination/routing/rate_limits.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/rate_limits.py
@@ -1,7 +1,8 @@
 """Follows the rate limits that replicas name in their answers."""
 
+from typing import TYPE_CHECKING
+
 from bluebellbay.coordination.routing.attempt import Attempt
-from bluebellbay.coordination.routing.context import RoutingContext
 from bluebellbay.protocol.replica import ReplicaCondition
 from bluebellbay.state.line_limit import LineLimit
 from bluebellbay.state.rate_limit import RateLimitNotice
@@ -9,6 +10,9 @@
 from bluebellbay.state.rate_limit import WINDOW_S
 from bluebellbay.state.replica import ReplicaRecord
 
+if TYPE_CHECKING:
+    from bluebellbay.coordination.routing.context import RoutingContext
+
 # Who told what was learnt, if it was the replica itself.
 REPLICA_SOURCE = "replica"
 
@@ -19,7 +23,7 @@
     :param context: State and services shared by all requests of the node.
     """
 
-    def __init__(self, *, context: RoutingContext) -> None:
+    def __init__(self, *, context: "RoutingContext") -> None:
         self._context = context
         self._lines = LineLimit()
 
@@ -67,6 +71,7 @@
         limit = record.limit
         if limit is None:
             record.limit = RateLimitRecord(notice=notice, since=now)
+            self._note_begin(record, now)
             self._log("learnt", record, source, now, request_id=request_id)
             return
         if notice.heard_at < limit.notice.heard_at:
@@ -76,10 +81,24 @@
             change = "ended" if notice.per_s is None else "learnt"
             self._log(change, record, source, now, request_id=request_id)
             limit.since = now
+            if notice.per_s is not None:
+                self._note_begin(record, now)
+            elif source == REPLICA_SOURCE:
+                self._context.borrower.tell_end(record, now)
         elif notice.per_s is not None and now >= limit.logged_at + WINDOW_S:
             change = "held" if former.per_s == notice.per_s else "changed"
             self._log(change, record, source, now, request_id=request_id)
 
+    def _note_begin(self, record: ReplicaRecord, now: float) -> None:
+        """Bring what is under way to the replica under its new limit."""
+        if record.limit is None or record.rate_per_s is None:
+            return
+        self._context.state.limited_services.add(record.entry.service)
+        record.limit.full_until.clear()
+        for _ in record.in_flight:
+            record.limit.spent.add(now)
+        self._context.withdraw_waiting(record)
+
     def _log(
         self,
         change: str,
--- a/packages/bluebellbay/bluebellbay/coordination/routing/replica_answers.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/replica_answers.py
@@ -11,7 +11,6 @@
 from bluebellbay.coordination.routing.part import RoutingPart
 from bluebellbay.protocol.process import TimerTick
 from bluebellbay.protocol.registry import CloseReplicaConnections
-from bluebellbay.protocol.registry import SetConnectionLimit
 from bluebellbay.protocol.replica import ReplicaCondition
 from bluebellbay.state.line_limit import LineLimit
 from bluebellbay.state.replica import ReplicaRecord
@@ -98,11 +97,7 @@
         if record.leaving or record.connection_limit == 0:
             return
         if begins:
-            # A limit of 0 fails the requests that wait for a connection.
-            for limit in (0, record.connection_limit):
-                self.context.emit(
-                    SetConnectionLimit(replica=record.entry, limit=limit)
-                )
+            self.context.withdraw_waiting(record)
             self._log(
                 "A replica asked for a pause; it is quiet until the end.",
                 record,
--- a/packages/bluebellbay/bluebellbay/coordination/routing/selection.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/selection.py
@@ -5,6 +5,7 @@
 
 from bluebellbay.coordination.routing.pace import compute_share
 from bluebellbay.coordination.routing.pace import is_over
+from bluebellbay.coordination.routing.rate_permits import RatePermits
 from bluebellbay.coordination.routing.warmup_limit import WarmupPermits
 from bluebellbay.protocol.replica import ReplicaLoad
 from bluebellbay.protocol.route import Route
@@ -37,11 +38,15 @@
 
     :param state: State of the routing core.
     :ivar permits: Limits the requests to cold replicas.
+    :ivar rate_permits: Limits the requests to replicas that name a limit.
     """
 
     def __init__(self, *, state: RouterState) -> None:
         self._state = state
         self.permits = WarmupPermits(state=state)
+        self.rate_permits = RatePermits(
+            state=state, memberships=self.permits.memberships
+        )
         self._pooled: dict[str, LatencyWindow] = {}
 
     def get_pooled(self, route: str) -> LatencyWindow:
@@ -66,6 +71,60 @@
                 return True
         return False
 
+    def has_permitted(self, service: str, now: float) -> bool:
+        """Tell whether a usable replica is within its rate limit, if any.
+
+        :param service: Name of the service.
+        :param now: Current Unix time in seconds.
+        """
+        return any(
+            self._state.is_usable(record, now)
+            and not self._lacks_permit(record, now)
+            for record in self._state.replicas.list_service(service)
+        )
+
+    def find_limited(
+        self,
+        service: str,
+        route: Route,
+        excluded: Container[str],
+        best: ReplicaRecord | None,
+        now: float,
+    ) -> ReplicaRecord | None:
+        """Find the best replica that needs the permit of a lender.
+
+        :param service: Name of the service.
+        :param route: The route, for its latencies and its objective.
+        :param excluded: Identities of replicas that must not be chosen.
+        :param best: The best other replica, if any.
+        :param now: Current Unix time in seconds.
+        :returns: The replica; ``None`` if none is better than the other one.
+        """
+        if service not in self._state.limited_services:
+            return None
+        records = self._state.replicas.list_service(service)
+        if all(record.rate_per_s is None for record in records):
+            self._state.limited_services.discard(service)
+            return None
+        found = None
+        best_s = math.inf
+        if best is not None:
+            best_s = self._estimate_cost(best, route, now)
+        for record in records:
+            if record.entry.replica_id in excluded:
+                continue
+            if not self._lacks_permit(record, now):
+                continue
+            if not self._state.is_usable(record, now):
+                continue
+            if record.cold_until > now and not self._permits(record, now):
+                continue
+            cost_s = self._estimate_cost(record, route, now)
+            if cost_s < best_s:
+                found = record
+                best_s = cost_s
+        return found
+
     def count_usable(self, service: str, now: float) -> int:
         """Count the replicas that may get requests and can be reached.
 
@@ -96,6 +155,8 @@
                 continue
             if record.entry.replica_id in excluded:
                 continue
+            if record.limit is not None and self._lacks_permit(record, now):
+                continue
             if record.cold_until > now and not self._permits(record, now):
                 continue
             if record.pace is not None and not _is_last_resort(record, now):
@@ -110,6 +171,12 @@
             return self._choose_paced(paced, best, best_s, route, now)
         return best
 
+    def _lacks_permit(self, record: ReplicaRecord, now: float) -> bool:
+        """Tell whether a replica's rate limit lets this node send nothing."""
+        if record.rate_per_s is None:
+            return False
+        return not self.rate_permits.may_send(record, now)
+
     def _permits(self, record: ReplicaRecord, now: float) -> bool:
         """Tell whether a cold replica may get a request."""
         if not self.permits.is_limited(record):
--- a/packages/bluebellbay/bluebellbay/protocol/routing.py
+++ b/packages/bluebellbay/bluebellbay/protocol/routing.py
@@ -23,6 +23,11 @@
 from bluebellbay.protocol.quota import LenderFailed
 from bluebellbay.protocol.quota import QuotaAnswer
 from bluebellbay.protocol.quota import QuotaAsked
+from bluebellbay.protocol.rate_permit import AskForPermit
+from bluebellbay.protocol.rate_permit import PermitAnswer
+from bluebellbay.protocol.rate_permit import PermitAnswered
+from bluebellbay.protocol.rate_permit import PermitAsked
+from bluebellbay.protocol.rate_permit import PermitFailed
 from bluebellbay.protocol.registry import CallersDrained
 from bluebellbay.protocol.registry import CloseReplicaConnections
 from bluebellbay.protocol.registry import ConfigurationReceived
@@ -71,6 +76,9 @@
     | LenderAnswered
     | LenderFailed
     | QuotaAsked
+    | PermitAnswered
+    | PermitFailed
+    | PermitAsked
     | ReplicaProbed
     | NodesListed
     | NodeRegistered
@@ -95,5 +103,7 @@
     | ProbePeer
     | AskLender
     | QuotaAnswer
+    | AskForPermit
+    | PermitAnswer
     | ProbeReplica
 )
--- a/packages/bluebellbay/bluebellbay/state/replica.py
+++ b/packages/bluebellbay/bluebellbay/state/replica.py
@@ -14,10 +14,24 @@
 from bluebellbay.state.rate_limit import RateLimitRecord
 from bluebellbay.state.sliding_window_counter import SlidingWindowCounter
 
-# Bounds the memory for removed incarnations that were leaving or quiet.
+# Bounds the memory for removed incarnations of which answers told something.
 MAX_FORMER_INCARNATIONS = 4096
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class FormerIncarnation:
+    """What answers of a removed incarnation told that holds on.
+
+    :param leaving: Whether it is leaving.
+    :param quiet_until: Time in seconds until which it asked for no requests.
+    :param limit: The rate limit that it last named, if any.
+    """
+
+    leaving: bool
+    quiet_until: float
+    limit: RateLimitRecord | None
+
+
 @dataclasses.dataclass(eq=False, slots=True, kw_only=True)
 class ReplicaRecord:
     """One incarnation of a replica.
@@ -84,6 +98,22 @@
         """Identity and start time, which identify this incarnation."""
         return (self.entry.replica_id, self.entry.started_ms)
 
+    @property
+    def rate_per_s(self) -> float | None:
+        """Requests a second that it takes, if it names a limit."""
+        return None if self.limit is None else self.limit.per_s
+
+    def get_return_time(self) -> float:
+        """Return the time in seconds until which it is known to have no room.
+
+        That is the end of its pause, and with a rate limit also the earliest
+        time at which a lender has room.
+        """
+        if self.limit is None or self.limit.per_s is None:
+            return self.quiet_until
+        room_at = min(self.limit.full_until.values(), default=0.0)
+        return max(self.quiet_until, room_at)
+
     def __post_init__(self) -> None:
         self.note_entry_warmup(self.added_at)
 
@@ -151,10 +181,10 @@
         self._by_id: dict[str, ReplicaRecord] = {}
         self._by_service: dict[str, dict[str, ReplicaRecord]] = {}
         self._domains: dict[str, frozenset[str]] = {}
-        # Whether removed incarnations were leaving, and until when they are
-        # quiet, as the store may list the same incarnation again.
+        # Removed incarnations of which answers told something that holds on,
+        # as the store may list the same incarnation again.
         self._former: collections.OrderedDict[
-            tuple[str, int, str], tuple[bool, float]
+            tuple[str, int, str], FormerIncarnation
         ] = collections.OrderedDict()
 
     def __len__(self) -> int:
@@ -195,7 +225,9 @@
         self.remove(record.entry.replica_id)
         former = self._former.pop(_build_key(record.entry), None)
         if former is not None:
-            record.leaving, record.quiet_until = former
+            record.leaving = former.leaving
+            record.quiet_until = former.quiet_until
+            record.limit = former.limit
         replica_id = record.entry.replica_id
         self._by_id[replica_id] = record
         by_id = self._by_service.setdefault(record.entry.service, {})
@@ -237,10 +269,14 @@
         """
         if self._by_id.get(record.entry.replica_id) is record:
             return
-        if not record.leaving and not record.quiet_until:
+        if not (record.leaving or record.quiet_until or record.limit):
             return
         key = _build_key(record.entry)
-        self._former[key] = (record.leaving, record.quiet_until)
+        self._former[key] = FormerIncarnation(
+            leaving=record.leaving,
+            quiet_until=record.quiet_until,
+            limit=record.limit,
+        )
         self._former.move_to_end(key)
         if len(self._former) > MAX_FORMER_INCARNATIONS:
             self._former.popitem(last=False)
--- a/packages/bluebellbay/bluebellbay/state/router.py
+++ b/packages/bluebellbay/bluebellbay/state/router.py
@@ -29,6 +29,8 @@
         replica in another failure domain.
     :ivar evacuated_domains: Failure domains whose replicas get no requests.
     :ivar evacuations_known: Whether the evacuations were read once.
+    :ivar limited_services: Services of which a replica has named a rate limit
+        that may not have ended.
     """
 
     def __init__(self, *, rules: RouterRules, rng: random.Random) -> None:
@@ -48,6 +50,7 @@
         self.last_remote_answer_at = 0.0
         self.evacuated_domains: frozenset[str] = frozenset()
         self.evacuations_known = False
+        self.limited_services: set[str] = set()
 
     @property
     def draining(self) -> bool:
@@ -97,13 +100,13 @@
         :param services: Names of services.
         :param now: Current time in seconds.
         :returns: Time in seconds when the first pause ends, of the services
-            whose otherwise usable replicas are all quiet; ``None`` if there is
-            no such service.
+            whose otherwise usable replicas are all quiet or over their rate
+            limits; ``None`` if there is no such service.
         """
         pause_ends = []
         for service in services:
             ends = [
-                record.quiet_until
+                record.get_return_time()
                 for record in self.replicas.list_service(service)
                 if self.is_usable(record, record.quiet_until)
             ]
--- a/packages/bluebellbay/bluebellbay/transport/delegation.py
+++ b/packages/bluebellbay/bluebellbay/transport/delegation.py
@@ -4,6 +4,7 @@
 query at the peer.
 """
 
+from collections.abc import Callable
 import dataclasses
 from typing import Annotated
 from typing import Any
@@ -33,6 +34,12 @@
 from bluebellbay.protocol.quota import LenderFailed
 from bluebellbay.protocol.quota import QuotaAnswer
 from bluebellbay.protocol.quota import QuotaAsk
+from bluebellbay.protocol.rate_permit import AskForPermit
+from bluebellbay.protocol.rate_permit import PermitAnswer
+from bluebellbay.protocol.rate_permit import PermitAnswered
+from bluebellbay.protocol.rate_permit import PermitAsk
+from bluebellbay.protocol.rate_permit import PermitFailed
+from bluebellbay.protocol.rate_permit import RateNews
 from bluebellbay.protocol.routing import RoutingEvent
 from bluebellbay.transport._tcp_info import has_unacknowledged_data
 from bluebellbay.transport._tcp_info import read_round_trip
@@ -50,6 +57,7 @@
 # The version changes with each encoding that older nodes can't decode.
 PATH = b"/v4/delegated-query"
 QUOTA_PATH = b"/v1/quota"
+PERMIT_PATH = b"/v1/permit"
 PROBE_METHOD = b"GET"
 PROBE_PATH = b"/v1/probe"
 OK = 200
@@ -84,7 +92,26 @@
     room_s: Annotated[float, msgspec.Meta(ge=0)]
 
 
-_Message = _Answer | _QuotaAnswer
+class _RateNews(msgspec.Struct, frozen=True, array_like=True):
+    per_s: Annotated[float, msgspec.Meta(gt=0)] | None
+    heard_s_ago: Annotated[float, msgspec.Meta(ge=0)]
+
+
+class _PermitQuery(msgspec.Struct, frozen=True, array_like=True):
+    node: str
+    replica_id: str
+    started_ms: int
+    news: _RateNews
+    wanted: bool
+
+
+class _PermitAnswer(msgspec.Struct, frozen=True, array_like=True):
+    granted: bool
+    room_s: Annotated[float, msgspec.Meta(ge=0)]
+    news: _RateNews | None
+
+
+_Message = _Answer | _QuotaAnswer | _PermitAnswer
 
 
 class DelegationWire(EntryWire):
@@ -92,8 +119,8 @@
 
     def decode_request(
         self, head: RequestHead, body: bytes
-    ) -> RoutedRequest | QuotaAsk:
-        """Decode a peer's query, or its ask for requests of an account.
+    ) -> RoutedRequest | QuotaAsk | PermitAsk:
+        """Decode a peer's query, or what it asks this node for.
 
         :param head: Head of the HTTP request.
         :param body: The whole body.
@@ -107,6 +134,8 @@
             raise ProbeRequest
         if head.target == QUOTA_PATH:
             return _decode_ask(body)
+        if head.target == PERMIT_PATH:
+            return _decode_permit_ask(body)
         if head.target != PATH:
             raise MalformedRequest("unknown path")
         try:
@@ -120,7 +149,10 @@
         )
 
     def encode_answer(
-        self, answer: ExchangeAnswer | QuotaAnswer, *, close: bool
+        self,
+        answer: ExchangeAnswer | QuotaAnswer | PermitAnswer,
+        *,
+        close: bool,
     ) -> bytes:
         """Encode the answer to a peer.
 
@@ -215,15 +247,48 @@
         body = msgspec.msgpack.encode(
             _QuotaQuery(account=ask.account, count=ask.count)
         )
+        self._submit_ask(
+            command, QUOTA_PATH, body, build_event=_build_lender_event
+        )
+
+    def ask_for_permit(self, command: AskForPermit) -> None:
+        """Ask a lender for a permit; exactly one event reports the end.
+
+        :param command: The lender, the ask and the time-out.
+        """
+        ask = command.ask
+        body = msgspec.msgpack.encode(
+            _PermitQuery(
+                node=ask.node,
+                replica_id=ask.replica_id,
+                started_ms=ask.started_ms,
+                news=_RateNews(
+                    per_s=ask.news.per_s, heard_s_ago=ask.news.heard_s_ago
+                ),
+                wanted=ask.wanted,
+            )
+        )
+        self._submit_ask(
+            command, PERMIT_PATH, body, build_event=_build_permit_event
+        )
+
+    def _submit_ask(
+        self,
+        command: AskLender | AskForPermit,
+        path: bytes,
+        body: bytes,
+        *,
+        build_event: Callable[[int, CallEnd], RoutingEvent],
+    ) -> None:
         # A request waits for it, so it goes ahead of delegated queries.
         self._get_pool(command.peer).submit_first(
             PooledCall(
                 method=METHOD,
-                path=QUOTA_PATH,
+                path=path,
                 build_body=lambda: body,
                 timeout_s=command.timeout_s,
                 report=lambda end: self._report(
-                    _build_lender_event(command.attempt, end)
+                    build_event(command.attempt, end)
                 ),
             )
         )
@@ -338,9 +403,58 @@
     )
 
 
-def _build_answer(answer: ExchangeAnswer | QuotaAnswer) -> _Message:
+def _decode_permit_ask(body: bytes) -> PermitAsk:
+    try:
+        query = msgspec.msgpack.decode(body, type=_PermitQuery)
+    except DECODE_EXCEPTIONS as error:
+        raise MalformedRequest(str(error)) from error
+    return PermitAsk(
+        node=query.node,
+        replica_id=query.replica_id,
+        started_ms=query.started_ms,
+        news=_read_news(query.news),
+        wanted=query.wanted,
+    )
+
+
+def _build_permit_event(
+    number: int, end: CallEnd
+) -> PermitAnswered | PermitFailed:
+    if not isinstance(end, CallAnswered):
+        return PermitFailed(attempt=number, reason=end.reason)
+    if end.status != OK:
+        reason = f"unexpected response, status {end.status}"
+        return PermitFailed(attempt=number, reason=reason)
+    try:
+        answer = msgspec.msgpack.decode(end.body, type=_PermitAnswer)
+    except DECODE_EXCEPTIONS:
+        return PermitFailed(attempt=number, reason="undecodable answer")
+    return PermitAnswered(
+        attempt=number,
+        granted=answer.granted,
+        room_s=answer.room_s,
+        news=None if answer.news is None else _read_news(answer.news),
+    )
+
+
+def _read_news(news: _RateNews) -> RateNews:
+    return RateNews(per_s=news.per_s, heard_s_ago=news.heard_s_ago)
+
+
+def _build_answer(
+    answer: ExchangeAnswer | QuotaAnswer | PermitAnswer,
+) -> _Message:
     if isinstance(answer, QuotaAnswer):
         return _QuotaAnswer(granted=answer.granted, room_s=answer.room_s)
+    if isinstance(answer, PermitAnswer):
+        news = answer.news
+        return _PermitAnswer(
+            granted=answer.granted,
+            room_s=answer.room_s,
+            news=None
+            if news is None
+            else _RateNews(per_s=news.per_s, heard_s_ago=news.heard_s_ago),
+        )
     if isinstance(answer, MergedAnswer):
         return _Answer(
             records=answer.records,
--- a/packages/bluebellbay/bluebellbay/transport/entry.py
+++ b/packages/bluebellbay/bluebellbay/transport/entry.py
@@ -21,6 +21,9 @@
 from bluebellbay.protocol.quota import QuotaAnswer
 from bluebellbay.protocol.quota import QuotaAsk
 from bluebellbay.protocol.quota import QuotaAsked
+from bluebellbay.protocol.rate_permit import PermitAnswer
+from bluebellbay.protocol.rate_permit import PermitAsk
+from bluebellbay.protocol.rate_permit import PermitAsked
 from bluebellbay.protocol.route import CallerLimits
 from bluebellbay.transport._address import parse_address
 from bluebellbay.transport._listening import accept_waiting
@@ -221,7 +224,9 @@
         self._in_body = False
         self._head_bytes = 0
 
-    def answer(self, answer: ExchangeAnswer | QuotaAnswer) -> None:
+    def answer(
+        self, answer: ExchangeAnswer | QuotaAnswer | PermitAnswer
+    ) -> None:
         """Write the answer, and run the next request or close.
 
         :param answer: Answer to the request under way.
@@ -321,6 +326,11 @@
                 QuotaAsked(exchange=self._exchange, ask=request)
             )
             return
+        if isinstance(request, PermitAsk):
+            self._entry.report(
+                PermitAsked(exchange=self._exchange, ask=request)
+            )
+            return
         self._entry.report(
             ExchangeOpened(
                 exchange=self._exchange,
@@ -471,7 +481,9 @@
         if self._open_exchanges.pop(exchange, None) is not None:
             self.report(ExchangeAbandoned(exchange=exchange))
 
-    def answer(self, answer: ExchangeAnswer | QuotaAnswer) -> None:
+    def answer(
+        self, answer: ExchangeAnswer | QuotaAnswer | PermitAnswer
+    ) -> None:
         """Answer an exchange; ignored if its caller has left.
 
         :param answer: The answer with the number of its exchange.
--- a/packages/bluebellbay/bluebellbay/transport/wire.py
+++ b/packages/bluebellbay/bluebellbay/transport/wire.py
@@ -11,6 +11,8 @@
 from bluebellbay.protocol.exchange import SendAttempt
 from bluebellbay.protocol.quota import QuotaAnswer
 from bluebellbay.protocol.quota import QuotaAsk
+from bluebellbay.protocol.rate_permit import PermitAnswer
+from bluebellbay.protocol.rate_permit import PermitAsk
 from bluebellbay.protocol.replica import ReplicaCondition
 from bluebellbay.protocol.replica import UNKNOWN_CONDITION
 from bluebellbay.protocol.routing import RoutingEvent
@@ -49,7 +51,7 @@
     @abc.abstractmethod
     def decode_request(
         self, head: RequestHead, body: bytes
-    ) -> RoutedRequest | QuotaAsk:
+    ) -> RoutedRequest | QuotaAsk | PermitAsk:
         """Decode a request.
 
         :param head: Head of the HTTP request.
@@ -63,7 +65,10 @@
 
     @abc.abstractmethod
     def encode_answer(
-        self, answer: ExchangeAnswer | QuotaAnswer, *, close: bool
+        self,
+        answer: ExchangeAnswer | QuotaAnswer | PermitAnswer,
+        *,
+        close: bool,
     ) -> bytes:
         """Encode an answer.
 
--- a/packages/bluebellbayd/bluebellbayd/router.py
+++ b/packages/bluebellbayd/bluebellbayd/router.py
@@ -34,6 +34,8 @@
 from bluebellbay.protocol.process import StopProcess
 from bluebellbay.protocol.quota import AskLender
 from bluebellbay.protocol.quota import QuotaAnswer
+from bluebellbay.protocol.rate_permit import AskForPermit
+from bluebellbay.protocol.rate_permit import PermitAnswer
 from bluebellbay.protocol.registry import CallersDrained
 from bluebellbay.protocol.registry import CloseReplicaConnections
 from bluebellbay.protocol.registry import DrainCallers
@@ -257,6 +259,8 @@
             ProbeReplica: self._replica_link.probe,
             AskLender: self._delegation_link.ask,
             QuotaAnswer: self._send_quota_answer,
+            AskForPermit: self._delegation_link.ask_for_permit,
+            PermitAnswer: self._send_permit_answer,
             DelegateQuery: self._delegation_link.send,
             WithdrawDelegation: self._delegation_link.withdraw,
             CheckDelegation: self._delegation_link.check,
@@ -300,6 +304,10 @@
         self.metrics.count_lender_answer(answer)
         self._peer_listener.answer(answer)
 
+    def _send_permit_answer(self, answer: PermitAnswer) -> None:
+        self.metrics.count_permit_answer(answer)
+        self._peer_listener.answer(answer)
+
     def _set_caller_limits(self, command: SetCallerLimits) -> None:
         # The command comes with each configuration that takes effect.
         self._caller_listener.limits = command.limits
--- a/packages/bluebellbayd/bluebellbayd/routing_failure.py
+++ b/packages/bluebellbayd/bluebellbayd/routing_failure.py
@@ -10,13 +10,15 @@
 from bluebellbay.protocol.exchange import SendAttempt
 from bluebellbay.protocol.quota import AskLender
 from bluebellbay.protocol.quota import LenderFailed
+from bluebellbay.protocol.rate_permit import AskForPermit
+from bluebellbay.protocol.rate_permit import PermitFailed
 
 REASON = "internal error"
 
 
 def build_routing_failure_event(
     command: object,
-) -> AttemptFailed | PeerProbed | LenderFailed | None:
+) -> AttemptFailed | PeerProbed | LenderFailed | PermitFailed | None:
     """Build the event that ends what a failed command should have begun.
 
     :param command: The command, of which any part may have been executed.
@@ -28,6 +30,8 @@
         return PeerProbed(name=command.peer.name, answered=False)
     if isinstance(command, AskLender):
         return LenderFailed(attempt=command.attempt, reason=REASON)
+    if isinstance(command, AskForPermit):
+        return PermitFailed(attempt=command.attempt, reason=REASON)
     return None
 
 
--- a/packages/bluebellbayd/bluebellbayd/routing_metrics.py
+++ b/packages/bluebellbayd/bluebellbayd/routing_metrics.py
@@ -15,6 +15,9 @@
 from bluebellbay.protocol.quota import LenderAnswered
 from bluebellbay.protocol.quota import LenderFailed
 from bluebellbay.protocol.quota import QuotaAnswer
+from bluebellbay.protocol.rate_permit import PermitAnswer
+from bluebellbay.protocol.rate_permit import PermitAnswered
+from bluebellbay.protocol.rate_permit import PermitFailed
 from bluebellbay.protocol.registry import StoreListed
 from bluebellbay.state.router import RouterState
 
@@ -156,6 +159,20 @@
             ("answer",),
             registry=registry,
         )
+        self._permit_asks = Counter(
+            "bluebellbay_permit_asks",
+            "Asks for a request to a replica that names a rate limit, by the "
+            "lender's answer.",
+            ("end",),
+            registry=registry,
+        )
+        self._permit_loans = Counter(
+            "bluebellbay_permit_loans",
+            "Answers to peers that asked for a request to a replica that "
+            "names a rate limit.",
+            ("answer",),
+            registry=registry,
+        )
         self._queue_decisions = Counter(
             "bluebellbay_queue_decisions",
             "Requests that waited for room at a service or were refused it.",
@@ -196,6 +213,21 @@
             ).inc()
         elif isinstance(event, LenderFailed):
             self._quota_asks.labels("failed").inc()
+        elif isinstance(event, PermitAnswered):
+            self._permit_asks.labels(
+                "granted" if event.granted else "refused"
+            ).inc()
+        elif isinstance(event, PermitFailed):
+            self._permit_asks.labels("failed").inc()
+
+    def count_permit_answer(self, answer: PermitAnswer) -> None:
+        """Count an answer to a peer that asked for a permit.
+
+        :param answer: The answer.
+        """
+        self._permit_loans.labels(
+            "granted" if answer.granted else "refused"
+        ).inc()
 
     def count_lender_answer(self, answer: QuotaAnswer) -> None:
         """Count an answer to a peer's ask.
