Name the gauge of rate limits without a word that accounts use

Cause: a scenario checks that no metric holds the name of a client account; its account is called 'limited', which the new gauge's name held. With the new name the scenario holds.

--- a/packages/bluebellbayd/bluebellbayd/routing_metrics.py
+++ b/packages/bluebellbayd/bluebellbayd/routing_metrics.py
@@ -137,8 +137,8 @@
             "Replicas known that asked for no requests for some time.",
             registry=registry,
         )
-        self._limited_replicas = Gauge(
-            "bluebellbay_limited_replicas",
+        self._replica_rate_limits = Gauge(
+            "bluebellbay_replica_rate_limits",
             "Replicas known that name a limit on their rate of requests.",
             registry=registry,
         )
@@ -315,7 +315,7 @@
         self._quiet_replicas.set(
             sum(record.quiet_until > now for record in state.replicas)
         )
-        self._limited_replicas.set(
+        self._replica_rate_limits.set(
             sum(
                 record.limit is not None and record.limit.per_s is not None
                 for record in state.replicas
