Log each era of the store that its answers name

Callers saw nothing. No log line or metric told that the store had come back from a copy, so that a node which read everything again could not be told from one that went on watching with revisions of before. The header of the era is read in the store's client from all answers, those of copies too, and each change gives one log line with what is in force and the gauge bluebellbay_store_era.

--- a/features/steps/follower_steps.py
+++ b/features/steps/follower_steps.py
@@ -26,6 +26,7 @@
 from bluebellbay.transport.store import StorePage
 from bluebellbay.transport.store import StoreSchema
 from bluebellbay.transport.store import StoreUnavailable
+from bluebellbay.transport.store_era import StoreEras
 from bluebellbay.transport.store_pace import StorePace
 from bluebellbay.transport.watch_guard import ANSWER_GRACE_S
 
@@ -37,6 +38,7 @@
 
 class FakeStore(StoreClient):
     def __init__(self, revision):
+        self.eras = StoreEras()
         self.revision = revision
         self.listed_revisions = []
         self.watched_revisions = []
--- a/features/steps/simulated_store.py
+++ b/features/steps/simulated_store.py
@@ -12,6 +12,7 @@
 from bluebellbay.transport.store import StoreItems
 from bluebellbay.transport.store import StorePage
 from bluebellbay.transport.store import StoreUnavailable
+from bluebellbay.transport.store_era import StoreEras
 
 ANSWER_S = 0.004
 TIMEOUT_S = 1.5
@@ -61,6 +62,7 @@
         copy_age_s=0.0,
     ):
         self.clock = clock
+        self.eras = StoreEras()
         self.outages = outages
         self.silent_at = silent_at
         self.replicas = {}
--- a/packages/bluebellbay/bluebellbay/coordination/routing/core.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/core.py
@@ -14,6 +14,7 @@
 from bluebellbay.coordination.routing.rate_limit_part import RateLimitPart
 from bluebellbay.coordination.routing.replica_answers import ReplicaAnswerPart
 from bluebellbay.coordination.routing.replicas import ReplicaPart
+from bluebellbay.coordination.routing.restore import RestorePart
 from bluebellbay.coordination.routing.rules import RulesPart
 from bluebellbay.coordination.routing.slack_events import SlackPart
 from bluebellbay.protocol.router_rules import RouterRules
@@ -34,6 +35,7 @@
         exchanges = ExchangePart(context=self.context, answers=answers)
         super().__init__(
             parts=(
+                RestorePart(context=self.context),
                 ConfigurationPart(context=self.context),
                 RulesPart(context=self.context),
                 EvacuationPart(context=self.context),
--- a/packages/bluebellbay/bluebellbay/protocol/registry.py
+++ b/packages/bluebellbay/bluebellbay/protocol/registry.py
@@ -73,6 +73,21 @@
     asked_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StoreEraChanged:
+    """The store came back from a copy, and has lost its latest changes.
+
+    All items are read again after this.
+
+    :param era: Number of the store's present era.
+    :param former: Number of the former one; ``None`` if this is the first
+        that the node knows, and nothing is read again.
+    """
+
+    era: int
+    former: int | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StoreConnectionRestored:
     """The store responds again."""
@@ -148,9 +163,11 @@
     """The operators evacuate a failure domain; its replicas get no requests.
 
     :param domain: Name of the failure domain, which need not have replicas.
+    :param listed: Whether a listing told it; otherwise it was just written.
     """
 
     domain: str
+    listed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/bluebellbay/bluebellbay/protocol/routing.py
+++ b/packages/bluebellbay/bluebellbay/protocol/routing.py
@@ -49,6 +49,7 @@
 from bluebellbay.protocol.registry import StoreConfirmed
 from bluebellbay.protocol.registry import StoreConnectionLost
 from bluebellbay.protocol.registry import StoreConnectionRestored
+from bluebellbay.protocol.registry import StoreEraChanged
 from bluebellbay.protocol.registry import StoreListed
 
 RoutingEvent = (
@@ -69,6 +70,7 @@
     | StoreConfirmed
     | StoreConnectionLost
     | StoreConnectionRestored
+    | StoreEraChanged
     | StoreListed
     | DelegationAnswered
     | DelegationUnacknowledged
--- a/packages/bluebellbay/bluebellbay/state/store_picture.py
+++ b/packages/bluebellbay/bluebellbay/state/store_picture.py
@@ -22,6 +22,7 @@
 
     :ivar confirmed_at: Time in seconds by which the store had accepted all
         that is known of it.
+    :ivar era: Number of the store's era, if it has told one.
     :ivar silent_s: Seconds between the last two answers; ``None`` until there
         are two.
     """
@@ -29,6 +30,7 @@
     def __init__(self) -> None:
         self.confirmed_at = -math.inf
         self.silent_s: float | None = None
+        self.era: int | None = None
         self._answered_at: float | None = None
         # Failed calls since the last answer, and when the latest was made.
         self._failures = 0
--- a/packages/bluebellbay/bluebellbay/transport/follower.py
+++ b/packages/bluebellbay/bluebellbay/transport/follower.py
@@ -14,6 +14,7 @@
 from bluebellbay.protocol.registry import StoreConfirmed
 from bluebellbay.protocol.registry import StoreConnectionLost
 from bluebellbay.protocol.registry import StoreConnectionRestored
+from bluebellbay.protocol.registry import StoreEraChanged
 from bluebellbay.transport._backoff import Backoff
 from bluebellbay.transport.store import HistoryCompacted
 from bluebellbay.transport.store import LeaseExpired
@@ -81,6 +82,9 @@
         self._report = report
         self._report_exception = report_exception
         self._rng = rng
+        client.eras.report = lambda era, former: report(
+            StoreEraChanged(era=era, former=former)
+        )
         self._lost = False
         # When the last answer came that holds all changes until then.
         self._read_at = 0.0
--- a/packages/bluebellbay/bluebellbay/transport/store.py
+++ b/packages/bluebellbay/bluebellbay/transport/store.py
@@ -2,15 +2,23 @@
 
 import abc
 import dataclasses
+from typing import TYPE_CHECKING
 
 from bluebellbay.protocol.node import NodeEntry
 from bluebellbay.protocol.routing import RoutingEvent
 
+if TYPE_CHECKING:
+    from bluebellbay.transport.store_era import StoreEras
+
 
 class StoreUnavailable(Exception):
     """The store did not answer, or its answer can't be decoded."""
 
 
+class StoreRestored(Exception):
+    """The store came back from a copy; what was asked for is of before."""
+
+
 class HistoryCompacted(Exception):
     """The store no longer holds the changes since the given revision."""
 
@@ -62,7 +70,16 @@
 
 
 class StoreClient(abc.ABC):
-    """Calls to the store; each raises ``StoreUnavailable`` if it fails."""
+    """Calls to the store; each raises ``StoreUnavailable`` if it fails.
+
+    A call that belongs to an earlier era of the store raises
+    ``StoreRestored``: a page after the first, a watch, and the calls with a
+    lease.
+
+    :ivar eras: Which era of the store answers are of.
+    """
+
+    eras: "StoreEras"
 
     @abc.abstractmethod
     async def read_page(self, after: str) -> StorePage:
--- a/packages/bluebellbayd/bluebellbayd/routing_metrics.py
+++ b/packages/bluebellbayd/bluebellbayd/routing_metrics.py
@@ -111,6 +111,12 @@
             "Time since the store's last answer to a watch or a check.",
             registry=registry,
         )
+        self._store_era = Gauge(
+            "bluebellbay_store_era",
+            "Number of the store's era; it rises when the store comes back "
+            "from a copy.",
+            registry=registry,
+        )
         self._store_listings = Counter(
             "bluebellbay_store_listings",
             "Readings of all items of the store, by how they ended.",
@@ -321,6 +327,9 @@
                 for record in state.replicas
             )
         )
+        self._store_era.set(
+            float("nan") if state.store.era is None else state.store.era
+        )
         self._configuration_version.set(state.routes.version)
         self._replicas.set(len(state.replicas))
         self._paced_replicas.set(
