--- a/features/steps/faulty_store.py
+++ b/features/steps/faulty_store.py
@@ -75,7 +75,7 @@
         if "allow-stale" in query:
             self.checks += 1
         if self.refuses_all or (self.refuses_every_second and self._calls % 2):
-            request.answer(UNAVAILABLE)
+            request.answer(UNAVAILABLE, **self.build_headers(query))
             return
         self._ended.wait(self.delay_s)
         cuts = self._cuts
@@ -87,10 +87,18 @@
             self._ended.wait(SILENCE_S)
             request.close_connection = True
             return
+        headers = self.build_headers(query)
         if answer is None:
-            request.answer(GONE, b"{}")
-            return
-        request.answer(200, json.dumps(answer).encode())
+            request.answer(GONE, b"{}", **headers)
+        elif isinstance(answer, int):
+            request.answer(answer, b"{}", **headers)
+        else:
+            request.answer(200, json.dumps(answer).encode(), **headers)
+
+    def build_headers(self, query):
+        """Build the headers that all answers have."""
+        del query
+        return {}
 
     def _answer(self, path, query, body):
         if path == "/-/kv-key":
--- a/features/steps/following_node.py
+++ b/features/steps/following_node.py
@@ -10,6 +10,7 @@
 
 from bluebellbay.coordination.routing.core import RoutingCore
 from bluebellbay.protocol.node import NodeEntry
+from bluebellbay.protocol.process import LogDecision
 from bluebellbay.protocol.process import TimerTick
 from bluebellbay.protocol.router_rules import RouterRules
 from bluebellbay.protocol.store_allowance import StoreAllowance
@@ -30,6 +31,7 @@
             rng=random.Random(1),
         )
         self.unreadable = []
+        self.lines = []
         self.client = PlatformStore(
             reactor=reactor, address=f"{LOOPBACK}:{store.server.port}"
         )
@@ -44,7 +46,7 @@
             node=NodeEntry(
                 name="node-0", address="127.0.0.1:1", failure_domain="z"
             ),
-            report=lambda event: self.core.step(event, time.time()),
+            report=self._step,
             report_exception=lambda error: None,
             rng=random.Random(1),
             pace=StorePace(allowance=StoreAllowance()),
@@ -61,6 +63,16 @@
     def replicas(self):
         return {record.entry.replica_id for record in self.core.state.replicas}
 
+    def call_later(self, seconds, function, *arguments):
+        call_in_reactor(
+            lambda: reactor.callLater(seconds, function, *arguments)
+        )
+
+    def _step(self, event):
+        for command in self.core.step(event, time.time()):
+            if isinstance(command, LogDecision):
+                self.lines.append(command)
+
     def stop(self):
         call_in_reactor(self._stop)
 
@@ -76,4 +88,4 @@
     def _run_timers(self):
         due_at = self.core.get_wakeup_time()
         if due_at is not None and due_at <= time.time():
-            self.core.step(TimerTick(), time.time())
+            self._step(TimerTick())
