Use no answer of a store for what was asked in another era

Each answer is now checked by the era in which its call was made; a later era, also of a copy or a failed call, begins the watch, the listing and the node's registration anew. The registration moves to a module of its own; the entry tells the version in force, for nodes that start. Ruled out: to go by 410 alone, and to compare revisions within the new era, as nobody knows the copy's own.

--- a/features/steps/follower_steps.py
+++ b/features/steps/follower_steps.py
@@ -142,6 +142,7 @@
         rng=random.Random(1),
         pace=StorePace(allowance=StoreAllowance()),
         count_nodes=lambda: context.nodes,
+        read_version=lambda: 0,
     )
     context.follower.start()
 
--- a/features/steps/following_node.py
+++ b/features/steps/following_node.py
@@ -25,9 +25,9 @@
 class FollowingNode:
     """A follower whose events reach a routing core, as in the program."""
 
-    def __init__(self, store, *, nodes=4):
+    def __init__(self, store, *, nodes=4, name="node-0"):
         self.core = RoutingCore(
-            rules=RouterRules(node="node-0", failure_domain="z"),
+            rules=RouterRules(node=name, failure_domain="z"),
             rng=random.Random(1),
         )
         self.unreadable = []
@@ -44,13 +44,14 @@
                 )
             ),
             node=NodeEntry(
-                name="node-0", address="127.0.0.1:1", failure_domain="z"
+                name=name, address="127.0.0.1:1", failure_domain="z"
             ),
             report=self._step,
             report_exception=lambda error: None,
             rng=random.Random(1),
             pace=StorePace(allowance=StoreAllowance()),
             count_nodes=lambda: nodes,
+            read_version=lambda: self.core.state.routes.version,
         )
         self._timers = LoopingCall(self._run_timers)
         call_in_reactor(self._start)
--- a/features/steps/store_history_steps.py
+++ b/features/steps/store_history_steps.py
@@ -51,6 +51,8 @@
     :param nodes: Number of nodes; random by default.
     """
 
+    store_class = SimulatedStore
+
     def __init__(self, seed, *, copy_age_s=0.0, nodes=None):
         self.rng = random.Random(seed)
         self.removal_limit_s, self.recovery_limit_s = self.rng.choice(LIMITS)
@@ -59,7 +61,7 @@
         self.clock = Clock()
         self.clock.advance(START_S)
         nodes = nodes or self.rng.choice(NODE_COUNTS)
-        self.store = SimulatedStore(
+        self.store = self.store_class(
             clock=self.clock,
             rng=self.rng,
             page_items=(
@@ -93,6 +95,7 @@
             rng=self.rng,
             pace=StorePace(allowance=allowance),
             count_nodes=lambda: self.core.state.nodes,
+            read_version=lambda: self.core.state.routes.version,
         )
 
     def fail(self, *reasons):
--- a/packages/bluebellbay/bluebellbay/protocol/node.py
+++ b/packages/bluebellbay/bluebellbay/protocol/node.py
@@ -11,8 +11,11 @@
     :param address: ``host:port`` for its peers; empty if the entry could not
         be decoded.
     :param failure_domain: Its failure domain.
+    :param version: Version of the configuration that was in force there when
+        it wrote the entry; 0 if none was.
     """
 
     name: str
     address: str
     failure_domain: str
+    version: int = 0
--- a/packages/bluebellbay/bluebellbay/transport/follower.py
+++ b/packages/bluebellbay/bluebellbay/transport/follower.py
@@ -1,4 +1,4 @@
-"""Follows the store's changes and maintains this node's lease in it."""
+"""Follows the store's changes, and keeps this node registered in it."""
 
 from collections.abc import Callable
 import random
@@ -9,17 +9,17 @@
 from twisted.internet.task import deferLater
 
 from bluebellbay.protocol.node import NodeEntry
-from bluebellbay.protocol.registry import NodeLeaseEnded
 from bluebellbay.protocol.registry import StoreAnswered
 from bluebellbay.protocol.registry import StoreConfirmed
 from bluebellbay.protocol.registry import StoreConnectionLost
 from bluebellbay.protocol.registry import StoreConnectionRestored
 from bluebellbay.protocol.registry import StoreEraChanged
 from bluebellbay.transport._backoff import Backoff
+from bluebellbay.transport.node_lease import NodeLease
 from bluebellbay.transport.store import HistoryCompacted
-from bluebellbay.transport.store import LeaseExpired
 from bluebellbay.transport.store import StoreClient
 from bluebellbay.transport.store import StorePage
+from bluebellbay.transport.store import StoreRestored
 from bluebellbay.transport.store import StoreSchema
 from bluebellbay.transport.store import StoreUnavailable
 from bluebellbay.transport.store_listing import StoreListing
@@ -29,8 +29,6 @@
 
 WATCH_S = 25.0
 LOST_STORE_WATCH_S = 0.1
-LEASE_TTL_S = 30.0
-RENEWALS_PER_LEASE = 3
 
 ExceptionHandler = Callable[[Exception], None]
 
@@ -41,8 +39,11 @@
     All items are read again once the store no longer holds the changes since
     the last revision read, and after an unexpected exception. The watch starts
     with the first page of them, so that a change never waits for a listing,
-    however long it takes. The node's item is written under a lease, and again
-    under a new one if that expires.
+    however long it takes.
+
+    A store that comes back from a copy has other items, under revisions that
+    it had before. So all items are read again, and the node is registered
+    anew, once any answer names a new era.
 
     :param reactor: Twisted reactor.
     :param client: Makes the calls to the store.
@@ -55,6 +56,7 @@
     :param pace: Intervals of checks and batch delays; may be replaced at any
         time.
     :param count_nodes: Returns the number of nodes that call the store.
+    :param read_version: Returns the version of the configuration in force.
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         rng: random.Random,
         pace: StorePace,
         count_nodes: Callable[[], int],
+        read_version: Callable[[], int],
     ) -> None:
         self.pace = pace
         self._count_nodes = count_nodes
@@ -78,14 +81,24 @@
             reactor=reactor, client=client, report_answer=self._report_answer
         )
         self._schema = schema
-        self._node = node
         self._report = report
         self._report_exception = report_exception
         self._rng = rng
-        client.eras.report = lambda era, former: report(
-            StoreEraChanged(era=era, former=former)
+        self._lease = NodeLease(
+            reactor=reactor,
+            client=client,
+            schema=schema,
+            node=node,
+            report=report,
+            report_exception=report_exception,
+            rng=rng,
+            count_nodes=count_nodes,
+            read_version=read_version,
         )
+        client.eras.report = self._handle_era
         self._lost = False
+        # Whether the store was restored since the last listing began.
+        self._restored = False
         # When the last answer came that holds all changes until then.
         self._read_at = 0.0
         # Pause before the present watch.
@@ -96,7 +109,7 @@
 
     def start(self) -> None:
         """Start to watch the store and to maintain the lease."""
-        for task in (self._follow_changes(), self._maintain_lease()):
+        for task in (self._follow_changes(), self._lease.maintain()):
             running = Deferred.fromCoroutine(task)
             running.addErrback(self._report_task_failure)
             self._tasks.append(running)
@@ -113,6 +126,9 @@
         revision: int | None = None
         listing = self._renew_listing("start")
         while True:
+            if self._restored:
+                listing = self._renew_listing("store restored")
+                revision = None
             asked_at = self._reactor.seconds()
             try:
                 if revision is None:
@@ -120,6 +136,8 @@
                 else:
                     revision = await self._read_changes(revision)
                 backoff.reset()
+            except StoreRestored:
+                backoff.reset()
             except HistoryCompacted:
                 # The store has answered, and may be refusing a part of calls.
                 backoff.reset()
@@ -158,6 +176,8 @@
     async def _begin_listing(self, listing: StoreListing) -> int:
         """Read the first page; the others are read during the watch."""
         page = await listing.read_first_page()
+        # The page is of the present era, also if its answer has begun that.
+        self._restored = False
         self._note_read()
         self._report_answer()
         self._report_regained()
@@ -174,7 +194,7 @@
             try:
                 await listing.read_from(page)
                 break
-            except CancelledError:
+            except (CancelledError, StoreRestored):
                 return
             except Exception as error:
                 # Without the listing what is gone would be used for ever.
@@ -223,38 +243,14 @@
             await deferLater(self._reactor, self._batch_delay_s)
         return max(revision, changes.revision)
 
-    async def _maintain_lease(self) -> None:
-        backoff = Backoff(reactor=self._reactor, rng=self._rng)
-        lease: int | None = None
-        written = False
-        item = self._schema.encode_node(self._node)
-        while True:
-            try:
-                if lease is None:
-                    written = False
-                    lease = await self._client.open_lease(LEASE_TTL_S)
-                if written:
-                    await self._client.renew_lease(lease)
-                else:
-                    await self._client.put(item.key, item.value or b"", lease)
-                    written = True
-                backoff.reset()
-                await deferLater(
-                    self._reactor, LEASE_TTL_S / RENEWALS_PER_LEASE
-                )
-            except LeaseExpired:
-                lease = None
-                # A listing after the next write would not show the absence.
-                self._report(NodeLeaseEnded(name=self._node.name))
-            except StoreUnavailable:
-                # The watch reports the outage.
-                await backoff.wait()
-            except CancelledError:
-                return
-            except Exception as error:
-                # Without a lease the other nodes would not count this one.
-                self._report_exception(error)
-                await backoff.wait()
+    def _handle_era(self, era: int, former: int | None) -> None:
+        """Begin anew; the answer that told of the era is still handled."""
+        self._report(StoreEraChanged(era=era, former=former))
+        if former is None:
+            return
+        self._restored = True
+        self._guard.interrupt()
+        self._reactor.callLater(0, self._lease.renew_all)
 
     def _report_lost(self, reason: str, asked_at: float) -> None:
         self._lost = True
--- a/packages/bluebellbay/bluebellbay/transport/store.py
+++ b/packages/bluebellbay/bluebellbay/transport/store.py
@@ -109,10 +109,11 @@
         """
 
     @abc.abstractmethod
-    async def read_revision(self) -> int:
+    async def read_revision(self) -> int | None:
         """Read the revision of the store, at a fraction of a call's price.
 
-        :returns: A revision that the store had up to some seconds ago.
+        :returns: A revision that the store had up to some seconds ago;
+            ``None`` if it was before the store's present era.
         """
 
     @abc.abstractmethod
--- a/packages/bluebellbay/bluebellbay/transport/watch_guard.py
+++ b/packages/bluebellbay/bluebellbay/transport/watch_guard.py
@@ -9,6 +9,7 @@
 
 from bluebellbay.transport.store import StoreClient
 from bluebellbay.transport.store import StoreItems
+from bluebellbay.transport.store import StoreRestored
 from bluebellbay.transport.store import StoreUnavailable
 
 # The answer of a watch takes no longer on its way than that of a check.
@@ -38,6 +39,19 @@
         self._reactor = reactor
         self._client = client
         self._fault: str | None = None
+        self._watch: Deferred[StoreItems] | None = None
+
+    def interrupt(self) -> None:
+        """End the watch under way, as it is of an earlier era of the store.
+
+        It is not ended here: its own answer may have told of the new era.
+        """
+        self._reactor.callLater(0, self._end, self._watch)
+
+    def _end(self, watch: Deferred[StoreItems] | None) -> None:
+        if watch is not None and watch is self._watch:
+            self._watch = None
+            watch.cancel()
 
     async def watch(
         self,
@@ -56,11 +70,13 @@
         :returns: The changes; no items if there was none in time.
         :raises HistoryCompacted: If the store no longer holds the changes
             after the revision.
+        :raises StoreRestored: If the revision is of an earlier era.
         :raises StoreUnavailable: If the watch failed, or a check failed or
             found changes that the watch did not report.
         """
         self._fault = None
         watch = Deferred.fromCoroutine(self._client.watch(after, wait_s))
+        self._watch = watch
         checks = Deferred.fromCoroutine(
             self._check(watch, after, first_check_s, check_interval_s)
         )
@@ -70,10 +86,13 @@
             self._report_answer()
             return items
         except CancelledError:
+            if self._watch is None:
+                raise StoreRestored from None
             if self._fault is None:
                 raise
             raise StoreUnavailable(self._fault) from None
         finally:
+            self._watch = None
             checks.cancel()
 
     async def _check(
@@ -94,10 +113,13 @@
             revision = await self._client.read_revision()
         except CancelledError:
             raise
+        except StoreRestored:
+            # The watch is interrupted.
+            return None
         except Exception as error:
             return f"a check failed: {error}"
         self._report_answer()
-        if revision <= after:
+        if revision is None or revision <= after:
             return None
         await deferLater(self._reactor, ANSWER_GRACE_S)
         return f"the watch did not report revision {revision}"
--- a/packages/bluebellbayd/bluebellbayd/router.py
+++ b/packages/bluebellbayd/bluebellbayd/router.py
@@ -179,6 +179,7 @@
             rng=rng,
             pace=StorePace(allowance=rules.store),
             count_nodes=lambda: self.core.state.nodes,
+            read_version=lambda: self.core.state.routes.version,
         )
         self._log_flush_loop = LoopingCall(self._flush_log)
         self._log_flush_loop.clock = reactor
