Hold back replicas' entries that a restore brings back

Callers could reach a replica that was gone: a restored store shows entries that were removed since its copy, and a node used them at once. An entry whose removal this node has read is now held back until it is written again, or has outlived three heartbeats and the time to read that; then its replica lives. Entries that the copy lacks have the time to be written again that lapsed ones have. Ruled out: to go by the entry's sequence, as heartbeats alone raise it unseen.

--- a/packages/bluebellbay/bluebellbay/coordination/routing/replicas.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/replicas.py
@@ -1,5 +1,6 @@
 """Synchronizes the table of replicas with the store."""
 
+import math
 from typing import Any
 
 from bluebellbay.coordination.routing.connection_limit import (
@@ -12,6 +13,7 @@
     set_service_limits,
 )
 from bluebellbay.coordination.routing.context import RoutingContext
+from bluebellbay.coordination.routing.gone_entries import GoneEntries
 from bluebellbay.coordination.routing.part import EventHandlers
 from bluebellbay.coordination.routing.part import RoutingPart
 from bluebellbay.protocol.process import TimerTick
@@ -27,7 +29,9 @@
 from bluebellbay.protocol.registry import StoreListed
 from bluebellbay.protocol.replica import ReplicaEntry
 from bluebellbay.state.replica import ReplicaRecord
+from bluebellbay.state.store_picture import RestoredItem
 
+MAX_LOGGED_REPLICAS = 8
 # Replicas of a fleet that starts for the first time come within this time.
 FIRST_START_S = 60.0
 
@@ -51,6 +55,7 @@
         # Entries that a watch told before the evacuations were read: each may
         # be of a replica in an evacuated failure domain.
         self._early: dict[str, ReplicaEntry] = {}
+        self._gone = GoneEntries(store=self.state.store)
 
     def list_handlers(self) -> EventHandlers:
         """Return the handler of each type of event."""
@@ -69,7 +74,9 @@
 
     def get_wakeup_time(self) -> float | None:
         """Return the time of the next wake-up, if one is scheduled."""
-        return min(self._unlisted.values(), default=None)
+        ends = (*self._unlisted.values(), self._gone.get_end())
+        earliest = min(ends)
+        return None if earliest == math.inf else earliest
 
     def _handle_evacuations(
         self, event: EvacuationsListed, now: float
@@ -82,19 +89,42 @@
     def _handle_list(self, event: ReplicasListed, now: float) -> None:
         if self._began_at is None:
             self._began_at = now
+        entries = self._leave_out_gone(event.entries, now)
         if not event.complete or not len(self.state.replicas):
-            self._add_all(event.entries, now)
-        for entry in event.entries:
+            self._add_all(entries, now)
+        for entry in entries:
             self._apply_entry(entry, now)
         if not event.complete:
             return
         self.state.replicas_listed = True
-        listed = {entry.replica_id for entry in event.entries}
+        listed = {entry.replica_id for entry in entries}
         for record in self.state.replicas:
             if record.entry.replica_id not in listed:
                 self._unlist(record, now)
 
+    def _leave_out_gone(
+        self, entries: tuple[ReplicaEntry, ...], now: float
+    ) -> tuple[ReplicaEntry, ...]:
+        """Leave out what a restored store shows of gone replicas."""
+        held = [entry for entry in entries if self._gone.hold(entry, now)]
+        if not held:
+            return entries
+        self.context.log(
+            "Held back entries of replicas that were gone before a restore.",
+            era=self.state.store.era,
+            held=len(held),
+            replicas=", ".join(
+                entry.replica_id for entry in held[:MAX_LOGGED_REPLICAS]
+            ),
+            left_s=round(self._gone.get_end() - now, 2),
+        )
+        left_out = {entry.replica_id for entry in held}
+        return tuple(
+            entry for entry in entries if entry.replica_id not in left_out
+        )
+
     def _handle_entry(self, event: ReplicaUpdated, now: float) -> None:
+        self._gone.note_written(event.entry)
         if not self.state.evacuations_known:
             self._early[event.entry.replica_id] = event.entry
             return
@@ -102,11 +132,13 @@
 
     def _handle_removal(self, event: ReplicaRemoved, now: float) -> None:
         self._early.pop(event.replica_id, None)
+        self._gone.discard(event.replica_id)
         record = self.state.replicas.find(event.replica_id)
         if record is not None:
             self._unlist(record, now)
 
     def _apply_entry(self, entry: ReplicaEntry, now: float) -> None:
+        store = self.state.store
         record = self.state.replicas.find(entry.replica_id)
         if record is None:
             self._add(entry, now)
@@ -130,6 +162,8 @@
         record.entry = entry
         if entry.sequence > former.sequence:
             record.note_entry_warmup(now)
+        if record.unlisted_at is not None and now < store.rewritten_at:
+            store.restored_items[RestoredItem.WRITTEN_AGAIN] += 1
         record.unlisted_at = None
         self._unlisted.pop(entry.replica_id, None)
         if entry.draining and not former.draining:
@@ -178,6 +212,7 @@
     def _unlist(self, record: ReplicaRecord, now: float) -> None:
         if record.unlisted_at is not None:
             return
+        self._gone.note_gone(record.entry)
         if record.entry.draining or record.leaving:
             self._remove(record)
             return
@@ -253,6 +288,13 @@
 
     def _handle_time(self, event: object, now: float) -> None:
         del event
+        for entry in self._gone.pop_proven(now):
+            self._log_entry(
+                "A replica that was held back lives, as its entry has not "
+                "lapsed.",
+                entry,
+            )
+            self._apply_entry(entry, now)
         for replica_id, removal_at in tuple(self._unlisted.items()):
             if now < removal_at:
                 continue
--- a/packages/bluebellbay/bluebellbay/coordination/routing/restore.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/restore.py
@@ -21,7 +21,9 @@
         if event.former is None:
             state.store.era = event.era
             return
-        state.store.era = event.era
+        state.store.note_restore(
+            event.era, now, state.rules.store, state.nodes
+        )
         silent_s = state.store.measure_silence(now)
         self.context.log(
             "The store came back from a copy; what is known stays in force.",
--- a/packages/bluebellbay/bluebellbay/protocol/store_allowance.py
+++ b/packages/bluebellbay/bluebellbay/protocol/store_allowance.py
@@ -51,6 +51,17 @@
         """
         return (LAPSE_HEARTBEATS - 1) * self.heartbeat_s
 
+    def compute_proof_delay(self, nodes: int) -> float:
+        """Compute how long after a restore an entry may be of a gone replica.
+
+        It lapses without heartbeats, and that is read.
+
+        :param nodes: Number of nodes that call the store.
+        :returns: Seconds from the store's first answer to the node.
+        """
+        lapse_s = LAPSE_HEARTBEATS * self.heartbeat_s
+        return lapse_s + self.compute_registration_grace(nodes)
+
     def compute_pause(self, nodes: int) -> float:
         """Compute the pause between two calls that tell changes.
 
--- a/packages/bluebellbay/bluebellbay/state/store_picture.py
+++ b/packages/bluebellbay/bluebellbay/state/store_picture.py
@@ -1,5 +1,7 @@
 """How old a node's knowledge of the store is."""
 
+import collections
+import enum
 import math
 
 from bluebellbay.protocol.store_allowance import StoreAllowance
@@ -12,6 +14,19 @@
 COPY_LAG_S = 5.5
 
 
+# An operator has written again by then what a restored store had lost; what is
+# missing still is taken for withdrawn.
+OPERATOR_REWRITE_S = 30.0
+
+
+class RestoredItem(enum.Enum):
+    """What became of an item that a restored store shows as of before."""
+
+    KEPT = "kept"
+    DROPPED = "dropped"
+    WRITTEN_AGAIN = "written again"
+
+
 class StorePicture:
     """Bounds the age of what a node knows of the store.
 
@@ -23,6 +38,7 @@
     :ivar confirmed_at: Time in seconds by which the store had accepted all
         that is known of it.
     :ivar era: Number of the store's era, if it has told one.
+    :ivar restored_items: Items of earlier eras by what became of them.
     :ivar silent_s: Seconds between the last two answers; ``None`` until there
         are two.
     """
@@ -31,6 +47,14 @@
         self.confirmed_at = -math.inf
         self.silent_s: float | None = None
         self.era: int | None = None
+        self.restored_items: collections.Counter[RestoredItem] = (
+            collections.Counter()
+        )
+        self._restored_at = -math.inf
+        # Until when an entry of a gone replica may be shown as of before.
+        self._proven_at = -math.inf
+        # Until when replicas have time to write entries that a restore lost.
+        self._rewritten_by = -math.inf
         self._answered_at: float | None = None
         # Failed calls since the last answer, and when the latest was made.
         self._failures = 0
@@ -86,6 +110,39 @@
             return self._asked_at
         return now if self._answered_at is None else self._answered_at
 
+    def note_restore(
+        self, era: int, now: float, allowance: StoreAllowance, nodes: int
+    ) -> None:
+        """Note that the store came back from a copy.
+
+        :param era: Number of its present era.
+        :param now: Current time in seconds.
+        :param allowance: Limits that apply.
+        :param nodes: Number of nodes that call the store.
+        """
+        self.era = era
+        self._restored_at = now
+        self._rewritten_by = now + allowance.compute_registration_grace(nodes)
+        self._proven_at = now + allowance.compute_proof_delay(nodes)
+
+    @property
+    def restored_at(self) -> float:
+        """Time in seconds when a restore was noticed last."""
+        return self._restored_at
+
+    @property
+    def proven_at(self) -> float:
+        """Time in seconds from which listed entries are of live replicas.
+
+        Until then a restored store may show those of replicas that have gone.
+        """
+        return self._proven_at
+
+    @property
+    def rewritten_at(self) -> float:
+        """Time in seconds when operators have written lost items again."""
+        return self._restored_at + OPERATOR_REWRITE_S
+
     def confirm(self, at: float) -> None:
         """Note that all is known that the store had accepted by some time.
 
@@ -108,11 +165,14 @@
         """Compute until when a replica is kept whose entry is gone.
 
         The entry went after ``confirmed_at``. If it may have lapsed in an
-        outage, the replica is given the time to write it again.
+        outage, or a restore has lost it, the replica is given the time to
+        write it again.
 
         :param allowance: Limits that apply.
         :returns: Time in seconds; it may have passed.
         """
         return max(
-            self.confirmed_at + allowance.removal_delay_s, self._kept_until
+            self.confirmed_at + allowance.removal_delay_s,
+            self._kept_until,
+            self._rewritten_by,
         )
--- a/packages/bluebellbayd/bluebellbayd/routing_metrics.py
+++ b/packages/bluebellbayd/bluebellbayd/routing_metrics.py
@@ -20,6 +20,7 @@
 from bluebellbay.protocol.rate_permit import PermitFailed
 from bluebellbay.protocol.registry import StoreListed
 from bluebellbay.state.router import RouterState
+from bluebellbay.state.store_picture import RestoredItem
 
 LATENCY_BUCKETS_S = (
     0.01,
@@ -117,6 +118,13 @@
             "from a copy.",
             registry=registry,
         )
+        self._restored_items = Gauge(
+            "bluebellbay_restored_items",
+            "Items that a restored store showed as of before, by what became "
+            "of them, since the start.",
+            ("outcome",),
+            registry=registry,
+        )
         self._store_listings = Counter(
             "bluebellbay_store_listings",
             "Readings of all items of the store, by how they ended.",
@@ -330,6 +338,10 @@
         self._store_era.set(
             float("nan") if state.store.era is None else state.store.era
         )
+        for item in RestoredItem:
+            self._restored_items.labels(item.value).set(
+                state.store.restored_items[item]
+            )
         self._configuration_version.set(state.routes.version)
         self._replicas.set(len(state.replicas))
         self._paced_replicas.set(
