Let a node that starts after a restore wait for what was in force

Callers of a node that started before the operator had written the configuration again could be served by an older one, beside nodes that had the later one. Cause: a started node knows no version but the store's. The nodes' entries, which are written again after a restore, tell the version that they had in force; a started node answers 503 until the store has it, for 5 s at most, as an entry may be of a node that is gone. Under an equal version the store's content counts after a restore. The highest version counts as before, in all eras. Ruled out: to ask peers by a message, as the store is the only link that nodes need.

--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -69,3 +69,23 @@
     Given a node that follows a store with 6 replicas
     When the store comes back from a copy of before the node, and gives its lease away
     Then the node is registered within 2 s under a lease of its own
+
+  Scenario: A node that starts after a restore serves by an older configuration
+    Given a node that follows a store with 6 replicas
+    When a copy is taken, and 4 configurations are written and in force
+    And the store comes back from the copy while the watch is cut
+    And the node has registered anew, and another one starts
+    Then for 1 s the other one has no configuration in force
+    When the configurations are written again, and one more
+    Then that version is in force at both within 4 s
+
+  Scenario: A node that starts waits for ever for what nobody writes again
+    Given a node that follows a store with 6 replicas
+    When a copy is taken, and 4 configurations are written and in force
+    And the store comes back from the copy while the watch is cut
+    And the node has registered anew, and another one starts
+    Then for 4 s the other one has no configuration in force
+    And it has the older one in force within 3 s
+
+  Scenario: Some history of restores makes a change late or takes it back
+    Then over random histories with restores no change is late or taken back
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -1,11 +1,16 @@
 """Steps about a store that comes back from a copy."""
 
+import base64
+import json
 import time
 
 import behave
 from following_node import FollowingNode
 from platform_world import wait_for
+from query_history_steps import hold_for_all
 from restored_store import RestoredStore
+from restoring_history import RestoringHistory
+from routing_history_steps import SEEDS
 from store_age_steps import check_reported_in_time
 from store_age_steps import ENTRY
 from store_age_steps import write_configuration
@@ -259,3 +264,60 @@
     store = context.store
     assert wait_for(lambda: NODE_KEY in store.items, seconds + 2.5)
     assert store.owners[NODE_KEY] != context.foreign, store.owners
+
+
+@behave.when("the node has registered anew, and another one starts")
+def step_start_other(context):
+    store = context.store
+    store.refuses_all = False
+
+    def is_registered():
+        return read_node(store).get("version") == context.version
+
+    assert wait_for(is_registered), read_node(store)
+    context.other = FollowingNode(store, name="node-1")
+    context.add_cleanup(context.other.stop)
+    assert wait_for(lambda: context.other.replicas)
+
+
+def read_node(store):
+    item = store.items.get(NODE_KEY)
+    return json.loads(base64.b64decode(item["value"])) if item else {}
+
+
+@behave.then("for {seconds:g} s the other one has no configuration in force")
+def check_waits(context, seconds):
+    hold(seconds, lambda: context.other.version == 0)
+
+
+@behave.then("it has the older one in force within {seconds:g} s")
+def check_older(context, seconds):
+    assert wait_for(
+        lambda: context.other.version == context.copied_version, seconds
+    )
+
+
+@behave.then("that version is in force at both within {seconds:g} s")
+def check_both(context, seconds):
+    check_reported_in_time(context, seconds)
+    context.node = context.other
+    check_reported_in_time(context, seconds)
+
+
+@behave.then(
+    "over random histories with restores no change is late or taken back"
+)
+def check_histories(context):
+    del context
+
+    @hold_for_all(SEEDS, examples=80)
+    def check(seed):
+        history = RestoringHistory(seed)
+        history.add_random_restores()
+        history.add_random_changes()
+        history.add_random_removals()
+        history.add_random_arrivals()
+        history.run(history.check)
+        history.check_end()
+
+    check()
--- a/packages/bluebellbay/bluebellbay/state/route_table.py
+++ b/packages/bluebellbay/bluebellbay/state/route_table.py
@@ -30,13 +30,21 @@
             return CallerLimits()
         return self.configuration.limits
 
-    def accept(self, configuration: RouteConfiguration) -> bool:
+    def accept(
+        self, configuration: RouteConfiguration, *, rewritten: bool = False
+    ) -> bool:
         """Put a configuration in force if its version is higher.
 
         :param configuration: The configuration.
+        :param rewritten: Whether it may also replace another one of its own
+            version.
         :returns: Whether the configuration replaced the one in force.
         """
-        if configuration.version <= self.version:
+        if configuration.version < self.version:
+            return False
+        if configuration.version == self.version and not (
+            rewritten and configuration != self.configuration
+        ):
             return False
         by_host: dict[str, list[Route]] = {}
         for route in configuration.routes:
