Take a response without a status of HTTP for a failure

Cause: the parser takes any three digits, and all below 200 counted as interim. Numbers outside 100 to 599 now end the call as failed and sent, on the one connection class that replicas, peers and the store are read by.

--- a/features/misbehaviour.feature
+++ b/features/misbehaviour.feature
@@ -17,6 +17,22 @@
       | within a chunk, closed              | Transfer-Encoding: chunked\r\n\r\n9\r\nshort    | closed |
       | without a length, reset             | Connection: close\r\n\r\nshort                  | reset  |
 
+  Scenario Outline: A status that is none is passed on, or waited behind: <status>, <body>
+    Given a link to a scripted replica
+    When a request is answered with status <status> and "<rest>", then <end>
+    Then the attempt failed and may have run
+
+    Examples:
+      | status | body             | rest                                       | end       |
+      | 000    | with a length    | Content-Length: 5\r\n\r\nshort             | kept open |
+      | 000    | empty            | Content-Length: 0\r\n\r\n                  | kept open |
+      | 000    | to the close     | \r\nshort                                  | closed    |
+      | 000    | in chunks        | Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n | kept open |
+      | 099    | with a length    | Content-Length: 5\r\n\r\nshort             | kept open |
+      | 099    | to the close     | \r\nshort                                  | closed    |
+      | 600    | with a length    | Content-Length: 5\r\n\r\nshort             | kept open |
+      | 999    | to the close     | \r\nshort                                  | closed    |
+
   Scenario Outline: A second copy of a response is never the next one: <copy>
     Given a link to a scripted replica
     When a request is answered and a second copy of the response comes <copy>
--- a/features/steps/misbehaviour_steps.py
+++ b/features/steps/misbehaviour_steps.py
@@ -180,6 +180,21 @@
     received.close() if end == "closed" else received.reset()
 
 
+@behave.when(
+    'a request is answered with status {status} and "{rest}", then {end}'
+)
+def answer_without_status(context, status, rest, end):
+    context.wire.send()
+    received = context.wire.receive()
+    received.send(
+        b"HTTP/1.1 %s Said\r\n" % status.encode()
+        + b"Bluebellbay-Response-Signature: s\r\n"
+        + rest.encode().decode("unicode_escape").encode()
+    )
+    if end == "closed":
+        received.close()
+
+
 @behave.then("the attempt failed and may have run")
 def check_failed(context):
     event = context.wire.events.wait_for_event()
--- a/packages/bluebellbay/bluebellbay/transport/connection.py
+++ b/packages/bluebellbay/bluebellbay/transport/connection.py
@@ -18,6 +18,8 @@
 # responses, responses to other requests, chunk extensions, trailers.
 MAX_HEAD_BYTES = 65_536
 MAX_HEADERS = 256
+# Other numbers are no status of HTTP, whatever the parser takes.
+STATUSES = range(100, 600)
 FIRST_FINAL_STATUS = 200
 # Fewer keys are kept without looking for those that have ended.
 MIN_KEYS_TO_FORGET = 64
@@ -218,7 +220,10 @@
     def on_headers_complete(self) -> None:
         """Check whether the response is to this call; called by the parser."""
         self._in_body = True
-        if self._parser.get_status_code() >= FIRST_FINAL_STATUS:
+        status = self._parser.get_status_code()
+        if status not in STATUSES:
+            self._fault = self._fault or f"response has no status: {status}"
+        elif status >= FIRST_FINAL_STATUS:
             self._check_match()
         if self._form.no_body:
             self._complete_response(keep_alive=False)
