Use a permit only for a replica that is still there and has a connection

Callers could be sent to a replica's former incarnation if it was replaced while a lender was asked, some ms; found while reading the change. Cause: the record that was asked for was used without a look whether the table still holds it. A lent request could also wait for a connection, and arrive beside later ones. Both are checked now; a service that ever named a limit stays among those that are looked at, as a replica may be listed again with its limit; lines on lenders that don't answer are bounded with those of requests.

--- a/features/rate_limit.feature
+++ b/features/rate_limit.feature
@@ -68,6 +68,17 @@
   Scenario: A limit is passed in some history of a fleet
     Then over random histories of a fleet no limit is passed
 
+  Scenario Outline: A permit is used for a replica that is <event> since the ask
+    Given a node that asks a lender for a request to its only replica
+    When the replica is <event> before the lender permits it
+    Then the request is refused as not run
+
+    Examples:
+      | event    |
+      | removed  |
+      | draining |
+      | replaced |
+
   Scenario: Programs pass a limit together, or can't lend each other what it allows
     Given 3 programs in 3 failure domains, which have known each other for 13 s
     When both posting servers name a limit of 2 and 60 postings come
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -1,5 +1,6 @@
 """Steps about rate limits that replicas name in their answers."""
 
+import dataclasses
 import random
 import time
 
@@ -13,8 +14,19 @@
 from quota_process_steps import DOMAINS
 from quota_process_steps import read_metric
 from quota_process_steps import send
+from routing_harness import build_replica
+from routing_harness import build_route
+from routing_harness import DOMAIN
+from routing_harness import RoutingHarness
 from routing_history_steps import SEEDS
 
+from bluebellbay.protocol.exchange import ErrorAnswer
+from bluebellbay.protocol.node import NodeEntry
+from bluebellbay.protocol.rate_permit import AskForPermit
+from bluebellbay.protocol.rate_permit import PermitAnswered
+from bluebellbay.protocol.registry import NodesListed
+from bluebellbay.protocol.registry import ReplicaRemoved
+from bluebellbay.protocol.replica import ReplicaCondition
 from bluebellbay.transport.connection import CallAnswered
 from bluebellbay_platform.condition import decode_condition
 from bluebellbay_platform.wire import PlatformWire
@@ -293,3 +305,54 @@
         return answers.count(200) == count
 
     assert wait_for(all_run, seconds)
+
+
+@behave.given("a node that asks a lender for a request to its only replica")
+def step_asking(context):
+    harness = context.harness = RoutingHarness(nodes=2)
+    harness.configure(1, build_route("route", service="service"))
+    lender = NodeEntry(name="peer", address="peer", failure_domain=DOMAIN)
+    harness.feed(NodesListed(nodes=(lender,)))
+    context.entry = build_replica("r1", "service")
+    harness.add_replicas(context.entry)
+    harness.open_exchange(1, "route")
+    (attempt,) = harness.list_open_attempts()
+    harness.reply(attempt, condition=ReplicaCondition(rate_per_s=5.0))
+    harness.open_exchange(2, "route")
+    (context.ask,) = [
+        command
+        for command in harness.commands
+        if isinstance(command, AskForPermit)
+    ]
+
+
+@behave.when("the replica is {event} before the lender permits it")
+def step_permit(context, event):
+    harness, entry = context.harness, context.entry
+    if event == "removed":
+        harness.add_replicas(
+            dataclasses.replace(entry, draining=True, sequence=2)
+        )
+        harness.feed(ReplicaRemoved(replica_id="r1"))
+    elif event == "draining":
+        harness.add_replicas(
+            dataclasses.replace(entry, draining=True, sequence=2)
+        )
+    else:
+        harness.add_replicas(
+            dataclasses.replace(entry, service="other", started_ms=2000)
+        )
+    harness.feed(
+        PermitAnswered(
+            attempt=context.ask.attempt, granted=True, room_s=0.0, news=None
+        )
+    )
+
+
+@behave.then("the request is refused as not run")
+def check_not_sent(context):
+    harness = context.harness
+    assert not harness.list_open_attempts()
+    answer = harness.answers[2]
+    assert isinstance(answer, ErrorAnswer), answer
+    assert not answer.ran
--- a/packages/bluebellbay/bluebellbay/coordination/routing/leg.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/leg.py
@@ -114,7 +114,9 @@
         """
         if self.closed:
             return
-        if not self._context.state.is_usable(record, now):
+        state = self._context.state
+        is_known = state.replicas.find(record.entry.replica_id) is record
+        if not is_known or not state.is_usable(record, now):
             self.go_without_permit(now)
             return
         self._awaits_permit = False
--- a/packages/bluebellbay/bluebellbay/coordination/routing/permit_borrower.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/permit_borrower.py
@@ -179,11 +179,13 @@
         :param now: Current time in seconds.
         """
         ask.ended = True
+        waiting = ask.waiting
         self._directory.avoid(ask.peer.entry.name, now)
         self._context.suspect(ask.peer)
         self._context.log(
             "A lender of a rate limit did not answer; it is not asked for "
             "some time.",
+            "" if waiting is None else waiting.leg.task.request.request_id,
             replica=ask.record.entry.replica_id,
             peer=ask.peer.entry.name,
             reason=reason,
--- a/packages/bluebellbay/bluebellbay/coordination/routing/rate_limits.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/rate_limits.py
@@ -39,11 +39,14 @@
         :param condition: What the answer tells of the replica.
         :param now: Current time in seconds.
         """
+        names_limit = condition.rate_per_s is not None
         if condition.rate_unreadable:
             return
+        if not names_limit and attempt.record.limit is None:
+            return
         record = self._context.state.replicas.find_same(attempt.record)
         limit = record.limit
-        if condition.rate_per_s is None and (
+        if not names_limit and (
             limit is None or attempt.sent_at < limit.notice.heard_at
         ):
             return
@@ -71,6 +74,8 @@
         limit = record.limit
         if limit is None:
             record.limit = RateLimitRecord(notice=notice, since=now)
+            # The record may have been removed since the request was sent.
+            self._context.state.replicas.remember(record)
             self._note_begin(record, now)
             self._log("learnt", record, source, now, request_id=request_id)
             return
--- a/packages/bluebellbay/bluebellbay/coordination/routing/rate_permits.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/rate_permits.py
@@ -35,16 +35,23 @@
     def may_send(self, record: ReplicaRecord, now: float) -> bool:
         """Tell whether this node's own part allows one more request.
 
-        A request must not wait for a connection, or it would arrive beside
-        later ones.
+        A request must not wait for a connection either, or it would arrive
+        beside later ones.
 
         :param record: The replica.
         :param now: Current time in seconds.
         """
-        if len(record.in_flight) >= max(1, record.connection_limit):
+        if not self.has_connection(record):
             return False
         return self.measure_wait(record, now) <= 0
 
+    def has_connection(self, record: ReplicaRecord) -> bool:
+        """Tell whether a request would not wait for a connection.
+
+        :param record: The replica.
+        """
+        return len(record.in_flight) < max(1, record.connection_limit)
+
     def spend(self, record: ReplicaRecord, now: float) -> None:
         """Count a request of this node's part.
 
--- a/packages/bluebellbay/bluebellbay/coordination/routing/selection.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/selection.py
@@ -103,9 +103,6 @@
         if service not in self._state.limited_services:
             return None
         records = self._state.replicas.list_service(service)
-        if all(record.rate_per_s is None for record in records):
-            self._state.limited_services.discard(service)
-            return None
         found = None
         best_s = math.inf
         if best is not None:
@@ -115,6 +112,8 @@
                 continue
             if not self._lacks_permit(record, now):
                 continue
+            if not self.rate_permits.has_connection(record):
+                continue
             if not self._state.is_usable(record, now):
                 continue
             if record.cold_until > now and not self._permits(record, now):
--- a/packages/bluebellbay/bluebellbay/state/router.py
+++ b/packages/bluebellbay/bluebellbay/state/router.py
@@ -29,8 +29,8 @@
         replica in another failure domain.
     :ivar evacuated_domains: Failure domains whose replicas get no requests.
     :ivar evacuations_known: Whether the evacuations were read once.
-    :ivar limited_services: Services of which a replica has named a rate limit
-        that may not have ended.
+    :ivar limited_services: Services of which a replica has ever named a rate
+        limit.
     """
 
     def __init__(self, *, rules: RouterRules, rng: random.Random) -> None:
