--- a/packages/bluebellbay/bluebellbay/coordination/routing/leg.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/leg.py
@@ -67,7 +67,8 @@
         self.permit_asks = 0
         # Whether a lender was asked for a permit, and for a retry.
         self._awaits_permit = False
-        self._denied: set[str] = set()
+        # Limited replicas that lenders were asked about.
+        self._asked: tuple[str, ...] = ()
         self._asked_for_retry = False
         ranks = context.ranks.get(service)
         if ranks is None:
@@ -297,7 +298,7 @@
             record = context.selector.find_limited(
                 self.service,
                 self.task.route,
-                self._tried | self._denied,
+                self._tried.union(self._asked),
                 best,
                 now,
             )
@@ -305,7 +306,7 @@
                 return False
             if best is None and self._reason is FailureReason.NO_REPLICA:
                 self._reason = FailureReason.LIMITED
-            self._denied.add(record.entry.replica_id)
+            self._asked = (*self._asked, record.entry.replica_id)
             self._asked_for_retry = is_retry
             self._awaits_permit = context.borrower.ask(
                 self, record, now, urgent=best is None
