Keep an ask of a lender in one class for quotas and rate limits

No change of behaviour: the time-out and the fields of an ask stood twice since rate limits have lenders too.

--- a/packages/bluebellbay/bluebellbay/coordination/routing/permit_borrower.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/permit_borrower.py
@@ -3,9 +3,10 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from bluebellbay.coordination.routing.lender_ask import CALL_TIMEOUT_S
+from bluebellbay.coordination.routing.lender_ask import LenderAsk
 from bluebellbay.coordination.routing.lender_directory import LenderDirectory
 from bluebellbay.coordination.routing.rate_permits import MAX_INTERVAL_S
-from bluebellbay.coordination.timer import TimerTarget
 from bluebellbay.protocol.rate_permit import AskForPermit
 from bluebellbay.protocol.rate_permit import PermitAnswered
 from bluebellbay.protocol.rate_permit import PermitAsk
@@ -18,8 +19,6 @@
     from bluebellbay.coordination.routing.context import RoutingContext
     from bluebellbay.coordination.routing.leg import Leg
 
-# An answer later than this is not read, not even for the round trip.
-CALL_TIMEOUT_S = 0.5
 # While other replicas serve, a limit is asked about so often, in case it has
 # ended.
 ASK_INTERVAL_S = 2.0
@@ -35,27 +34,16 @@
     asked: set[str] = dataclasses.field(default_factory=set)
 
 
-class _Ask(TimerTarget):
-    """An ask in flight.
+class _Ask(LenderAsk):
+    """An ask for a request to a replica.
 
     :param borrower: Handles the time-out.
     :param record: The replica.
     :param waiting: The leg that waits for it; ``None`` if the lender is only
         told something.
-    :param peer: The lender.
-    :param asked_at: Time in seconds of the ask.
-    :param late_at: Time in seconds from which it counts as refused.
     """
 
-    __slots__ = (
-        "_borrower",
-        "asked_at",
-        "ended",
-        "late_at",
-        "peer",
-        "record",
-        "waiting",
-    )
+    __slots__ = ("_borrower", "record", "waiting")
 
     def __init__(
         self,
@@ -67,25 +55,18 @@
         asked_at: float,
         late_at: float,
     ) -> None:
+        super().__init__(peer=peer, asked_at=asked_at, late_at=late_at)
         self._borrower = borrower
         self.record = record
         self.waiting = waiting
-        self.peer = peer
-        self.asked_at = asked_at
-        self.late_at = late_at
-        self.ended = False
 
-    @property
-    def is_finished(self) -> bool:
-        """Whether the ask was answered, or counts as refused."""
-        return self.ended
-
-    def handle_timeout(self, now: float) -> None:
-        """Count the ask as refused.
+    def handle_late(self, reason: str, now: float) -> None:
+        """Count the ask as refused, and ask the next lender.
 
+        :param reason: Short phrase for the log.
         :param now: Current time in seconds.
         """
-        self._borrower.handle_late(self, "no answer in time", now)
+        self._borrower.handle_late(self, reason, now)
 
 
 class PermitBorrower:
--- a/packages/bluebellbay/bluebellbay/coordination/routing/quota_gate.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/quota_gate.py
@@ -4,6 +4,8 @@
 import dataclasses
 
 from bluebellbay.coordination.routing.context import RoutingContext
+from bluebellbay.coordination.routing.lender_ask import CALL_TIMEOUT_S
+from bluebellbay.coordination.routing.lender_ask import LenderAsk
 from bluebellbay.coordination.routing.lender_directory import LenderDirectory
 from bluebellbay.coordination.routing.quota import QuotaBorrower
 from bluebellbay.coordination.routing.quota import QuotaToken
@@ -11,7 +13,6 @@
 from bluebellbay.coordination.routing.quota_lender import QuotaLender
 from bluebellbay.coordination.routing.quota_members import QuotaMembers
 from bluebellbay.coordination.routing.task import Arrival
-from bluebellbay.coordination.timer import TimerTarget
 from bluebellbay.protocol.account import ClientAccount
 from bluebellbay.protocol.exchange import ErrorAnswer
 from bluebellbay.protocol.exchange import RoutingErrorKind
@@ -21,9 +22,6 @@
 from bluebellbay.protocol.router_rules import QuotaLimits
 from bluebellbay.state.peer import PeerRecord
 
-# An answer later than this is not read, not even for the round trip.
-CALL_TIMEOUT_S = 0.5
-
 
 @dataclasses.dataclass(eq=False, slots=True, kw_only=True)
 class _Waiting:
@@ -35,56 +33,35 @@
     ended: bool = False
 
 
-class _Ask(TimerTarget):
-    """An ask in flight.
+class _Ask(LenderAsk):
+    """An ask for requests of a client account.
 
     :param gate: Handles the time-out.
-    :param number: Number of the ask.
     :param waiting: The request that waits for it.
-    :param peer: The lender.
-    :param asked_at: Time in seconds of the ask.
-    :param late_at: Time in seconds from which it counts as refused.
     """
 
-    __slots__ = (
-        "_gate",
-        "asked_at",
-        "ended",
-        "late_at",
-        "number",
-        "peer",
-        "waiting",
-    )
+    __slots__ = ("_gate", "waiting")
 
     def __init__(
         self,
         *,
         gate: "QuotaGate",
-        number: int,
         waiting: _Waiting,
         peer: PeerRecord,
         asked_at: float,
         late_at: float,
     ) -> None:
+        super().__init__(peer=peer, asked_at=asked_at, late_at=late_at)
         self._gate = gate
-        self.number = number
         self.waiting = waiting
-        self.peer = peer
-        self.asked_at = asked_at
-        self.late_at = late_at
-        self.ended = False
-
-    @property
-    def is_finished(self) -> bool:
-        """Whether the ask was answered, or counts as refused."""
-        return self.ended
 
-    def handle_timeout(self, now: float) -> None:
-        """Count the ask as refused.
+    def handle_late(self, reason: str, now: float) -> None:
+        """Count the ask as refused, and ask the next lender.
 
-        :param now: Current Unix time in seconds.
+        :param reason: Short phrase for the log.
+        :param now: Current time in seconds.
         """
-        self._gate.handle_late(self, "no answer in time", now)
+        self._gate.handle_late(self, reason, now)
 
 
 class QuotaGate:
@@ -304,19 +281,19 @@
 
     def _ask(self, waiting: _Waiting, peer: PeerRecord, now: float) -> None:
         self._waiting[waiting.arrival.opened.exchange] = waiting
+        number = self._context.allocate_number()
         ask = _Ask(
             gate=self,
-            number=self._context.allocate_number(),
             waiting=waiting,
             peer=peer,
             asked_at=now,
             late_at=now + self._directory.compute_timeout(peer.entry.name),
         )
-        self._asks[ask.number] = ask
+        self._asks[number] = ask
         self._context.timers.add(ask.late_at, ask)
         self._context.emit(
             AskLender(
-                attempt=ask.number,
+                attempt=number,
                 peer=peer.entry,
                 ask=QuotaAsk(account=waiting.account.name),
                 timeout_s=CALL_TIMEOUT_S,
