--- a/features/steps/delegation_steps.py
+++ b/features/steps/delegation_steps.py
@@ -24,10 +24,10 @@
 from bluebellbay.protocol.exchange import RoutingErrorKind
 from bluebellbay.protocol.node import NodeEntry
 from bluebellbay.transport.connection import CallAnswered
-from bluebellbay.transport.delegation import build_attempt_event
 from bluebellbay.transport.delegation import DelegationLink
-from bluebellbay.transport.delegation import DelegationWire
 from bluebellbay.transport.delegation import MAX_CONNECTIONS
+from bluebellbay.transport.peer_wire import build_attempt_event
+from bluebellbay.transport.peer_wire import DelegationWire
 from bluebellbay.transport.wire import MalformedRequest
 from bluebellbay.transport.wire import RequestHead
 
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -23,13 +23,13 @@
 from bluebellbay.transport.connection import Connection
 from bluebellbay.transport.connection import ResponseForm
 from bluebellbay.transport.connection import ResponseMatch
-from bluebellbay.transport.delegation import DelegationWire
-from bluebellbay.transport.delegation import PROBE_METHOD
-from bluebellbay.transport.delegation import PROBE_PATH
 from bluebellbay.transport.entry import CallerConnection
 from bluebellbay.transport.entry import CONTINUE_RESPONSE
 from bluebellbay.transport.entry import EntryListener
 from bluebellbay.transport.entry import PROBE_RESPONSE
+from bluebellbay.transport.peer_wire import DelegationWire
+from bluebellbay.transport.peer_wire import PROBE_METHOD
+from bluebellbay.transport.peer_wire import PROBE_PATH
 from bluebellbay.transport.receive_budget import ReceiveBudget
 from bluebellbay_platform.wire import PlatformWire
 
--- a/features/steps/nesting_steps.py
+++ b/features/steps/nesting_steps.py
@@ -20,10 +20,10 @@
 from bluebellbay.protocol.exchange import RoutingErrorKind
 from bluebellbay.settings import load_settings as load_daemon_settings
 from bluebellbay.transport.connection import CallAnswered
-from bluebellbay.transport.delegation import build_attempt_event
-from bluebellbay.transport.delegation import DelegationWire
-from bluebellbay.transport.delegation import METHOD
-from bluebellbay.transport.delegation import PATH
+from bluebellbay.transport.peer_wire import build_attempt_event
+from bluebellbay.transport.peer_wire import DelegationWire
+from bluebellbay.transport.peer_wire import METHOD
+from bluebellbay.transport.peer_wire import PATH
 from bluebellbay.transport.store import StoreUnavailable
 from bluebellbay.transport.wire import MalformedRequest
 from bluebellbay.transport.wire import RequestHead
--- a/packages/bluebellbayd/bluebellbayd/router.py
+++ b/packages/bluebellbayd/bluebellbayd/router.py
@@ -46,9 +46,9 @@
 from bluebellbay.protocol.route import CallerLimits
 from bluebellbay.protocol.router_rules import RouterRules
 from bluebellbay.transport.delegation import DelegationLink
-from bluebellbay.transport.delegation import DelegationWire
 from bluebellbay.transport.entry import EntryListener
 from bluebellbay.transport.follower import StoreFollower
+from bluebellbay.transport.peer_wire import DelegationWire
 from bluebellbay.transport.replica import ReplicaLink
 from bluebellbay.transport.store import StoreClient
 from bluebellbay.transport.store import StoreSchema
