Bound what a peer may tell of a rate limit

A rate of infinity from a peer would have raised an error at each decision on that replica, and an infinite age was taken; no caller saw it, it was found while reading the codec as a newcomer. Both are refused unread now, as other messages that can't be decoded.

--- a/features/rate_limit.feature
+++ b/features/rate_limit.feature
@@ -68,6 +68,20 @@
   Scenario: A limit is passed in some history of a fleet
     Then over random histories of a fleet no limit is passed
 
+  Scenario Outline: A peer's message about a limit harms the node: <news>
+    Then an ask that tells a rate and an age of "<news>" is refused unread
+
+    Examples:
+      | news      |
+      | inf 1     |
+      | nan 1     |
+      | 0 1       |
+      | -1 1      |
+      | 1e300 1   |
+      | 3 inf     |
+      | 3 nan     |
+      | 3 -1      |
+
   Scenario Outline: A permit is used for a replica that is <event> since the ask
     Given a node that asks a lender for a request to its only replica
     When the replica is <event> before the lender permits it
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -8,6 +8,7 @@
 import behave
 from limit_fleet import find_worst_excess
 from limit_fleet import LimitFleet
+import msgspec
 from platform_world import PlatformWorld
 from platform_world import wait_for
 from query_history_steps import hold_for_all
@@ -28,6 +29,10 @@
 from bluebellbay.protocol.registry import ReplicaRemoved
 from bluebellbay.protocol.replica import ReplicaCondition
 from bluebellbay.transport.connection import CallAnswered
+from bluebellbay.transport.peer_wire import DelegationWire
+from bluebellbay.transport.peer_wire import PERMIT_PATH
+from bluebellbay.transport.wire import MalformedRequest
+from bluebellbay.transport.wire import RequestHead
 from bluebellbay_platform.condition import decode_condition
 from bluebellbay_platform.wire import PlatformWire
 
@@ -356,3 +361,21 @@
     answer = harness.answers[2]
     assert isinstance(answer, ErrorAnswer), answer
     assert not answer.ran
+
+
+@behave.then(
+    'an ask that tells a rate and an age of "{news}" is refused unread'
+)
+def check_odd_news(context, news):
+    del context
+    per_s, heard_s_ago = map(float, news.split())
+    head = RequestHead(method=b"POST", target=PERMIT_PATH, headers=())
+    for odd in (False, True):
+        rate = [per_s, heard_s_ago] if odd else [3.0, 1.0]
+        body = msgspec.msgpack.encode(["n1", "r1", 1, rate, True])
+        try:
+            ask = DelegationWire().decode_request(head, body)
+        except MalformedRequest:
+            assert odd, news
+        else:
+            assert not odd, ask
--- a/packages/bluebellbay/bluebellbay/transport/peer_wire.py
+++ b/packages/bluebellbay/bluebellbay/transport/peer_wire.py
@@ -42,6 +42,9 @@
 PROBE_PATH = b"/v1/probe"
 OK = 200
 BAD_REQUEST = 400
+# What is beyond was not sent by a node of ours.
+MAX_RATE = 1e9
+MAX_AGE_S = 1e9
 
 
 class _Query(msgspec.Struct, frozen=True, array_like=True):
@@ -71,8 +74,8 @@
 
 
 class _RateNews(msgspec.Struct, frozen=True, array_like=True):
-    per_s: Annotated[float, msgspec.Meta(gt=0)] | None
-    heard_s_ago: Annotated[float, msgspec.Meta(ge=0)]
+    per_s: Annotated[float, msgspec.Meta(gt=0, le=MAX_RATE)] | None
+    heard_s_ago: Annotated[float, msgspec.Meta(ge=0, le=MAX_AGE_S)]
 
 
 class _PermitQuery(msgspec.Struct, frozen=True, array_like=True):
