--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -87,5 +87,9 @@
     Then for 4 s the other one has no configuration in force
     And it has the older one in force within 3 s
 
+  Scenario: Nodes that register again after a restore count as changes
+    Then 74 nodes that write their entries again change nothing
+    And one of them that comes back elsewhere, or after its lease, does
+
   Scenario: Some history of restores makes a change late or takes it back
     Then over random histories with restores no change is late or taken back
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -1,6 +1,7 @@
 """Steps about a store that comes back from a copy."""
 
 import base64
+import dataclasses
 import json
 import time
 
@@ -10,11 +11,17 @@
 from query_history_steps import hold_for_all
 from restored_store import RestoredStore
 from restoring_history import RestoringHistory
+from routing_harness import RoutingHarness
 from routing_history_steps import SEEDS
 from store_age_steps import check_reported_in_time
 from store_age_steps import ENTRY
 from store_age_steps import write_configuration
 
+from bluebellbay.protocol.node import NodeEntry
+from bluebellbay.protocol.registry import NodeLeaseEnded
+from bluebellbay.protocol.registry import NodeRegistered
+from bluebellbay.protocol.registry import NodesListed
+
 EVACUATION_KEY = "op/evacuate/z"
 NODE_KEY = "nodes/node-0"
 REPLICA_KEY = "servers/r0"
@@ -266,6 +273,37 @@
     assert store.owners[NODE_KEY] != context.foreign, store.owners
 
 
+@behave.then("{count:d} nodes that write their entries again change nothing")
+def check_registered_again(context, count):
+    harness = context.harness = RoutingHarness(nodes=count)
+    context.nodes = [
+        NodeEntry(name=f"n{number}", address=f"a{number}", failure_domain="z")
+        for number in range(count)
+    ]
+    harness.feed(NodesListed(nodes=tuple(context.nodes)))
+    before = harness.core.state.node_changes
+    for node in context.nodes:
+        again = dataclasses.replace(node, version=7)
+        harness.feed(NodeRegistered(node=again))
+    assert harness.core.state.node_changes == before
+
+
+@behave.then("one of them that comes back elsewhere, or after its lease, does")
+def check_node_changes(context):
+    harness = context.harness
+    node = context.nodes[0]
+    moved = dataclasses.replace(node, address="elsewhere")
+    for events in (
+        (NodeRegistered(node=moved),),
+        (NodeLeaseEnded(name=node.name), NodeRegistered(node=moved)),
+    ):
+        before = harness.core.state.node_changes
+        for event in events:
+            harness.feed(event)
+        assert harness.core.state.node_changes == before + len(events)
+    assert harness.core.state.peers[node.name].is_registered
+
+
 @behave.when("the node has registered anew, and another one starts")
 def step_start_other(context):
     store = context.store
--- a/packages/bluebellbay/bluebellbay/coordination/routing/nodes.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/nodes.py
@@ -40,9 +40,22 @@
         self._count_nodes(now)
 
     def _handle_node(self, event: NodeRegistered, now: float) -> None:
+        if self._is_known(event.node):
+            # After a restore of the store all nodes register again at once.
+            return
         self._add_node(event.node)
         self._count_nodes(now)
 
+    def _is_known(self, node: NodeEntry) -> bool:
+        """Tell whether a node has only written its entry again."""
+        if node.name == self.state.rules.node:
+            return self.state.is_registered
+        peer = self.state.peers.get(node.name)
+        if peer is None or peer.lease_ended_at is not None:
+            return False
+        place = (peer.entry.address, peer.entry.failure_domain)
+        return place == (node.address, node.failure_domain)
+
     def _handle_removal(self, event: NodeLeaseEnded, now: float) -> None:
         if event.name == self.state.rules.node:
             self.state.is_registered = False
@@ -75,6 +88,7 @@
         return members
 
     def _count_nodes(self, now: float) -> None:
+        self.state.node_changes += 1
         for name, peer in tuple(self.state.peers.items()):
             gone_at = peer.lease_ended_at
             if (
--- a/packages/bluebellbay/bluebellbay/coordination/routing/slack_events.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/slack_events.py
@@ -1,5 +1,6 @@
 """Keeps the parts of the retry slack in step with the store."""
 
+from bluebellbay.coordination.routing.context import RoutingContext
 from bluebellbay.coordination.routing.part import EventHandlers
 from bluebellbay.coordination.routing.part import RoutingPart
 from bluebellbay.protocol.registry import ConfigurationReceived
@@ -18,15 +19,21 @@
     """Tells the parts of the slack what has changed in the store.
 
     It comes after the parts that apply the same changes to the node's state.
+
+    :param context: State and services shared by all requests of the node.
     """
 
+    def __init__(self, *, context: RoutingContext) -> None:
+        super().__init__(context=context)
+        self._node_changes = 0
+
     def list_handlers(self) -> EventHandlers:
         """Return the handler of each type of event."""
         return {
             ConfigurationReceived: self._handle_change,
             RulesReloaded: self._handle_change,
             NodesListed: self._handle_change,
-            NodeRegistered: self._handle_change,
+            NodeRegistered: self._handle_node,
             NodeLeaseEnded: self._handle_change,
             ReplicasListed: self._handle_replicas,
             ReplicaUpdated: self._handle_replica,
@@ -37,8 +44,13 @@
 
     def _handle_change(self, event: object, now: float) -> None:
         del event
+        self._node_changes = self.state.node_changes
         self.context.slack.update(now)
 
+    def _handle_node(self, event: NodeRegistered, now: float) -> None:
+        if self.state.node_changes != self._node_changes:
+            self._handle_change(event, now)
+
     def _handle_replicas(self, event: ReplicasListed, now: float) -> None:
         slack = self.context.slack
         if event.complete:
--- a/packages/bluebellbay/bluebellbay/state/router.py
+++ b/packages/bluebellbay/bluebellbay/state/router.py
@@ -16,6 +16,7 @@
     :param rules: Limits and identity of the node.
     :param rng: The only source of randomness for the core.
     :ivar nodes: Number of nodes that share limits, including this one.
+    :ivar node_changes: How often the nodes that share limits have changed.
     :ivar is_registered: Whether the store lists this node, so that the others
         know of it.
     :ivar store: How old the knowledge of the store is.
@@ -41,6 +42,7 @@
         self.routes = RouteTable()
         self.replicas = ReplicaTable()
         self.peers: dict[str, PeerRecord] = {}
+        self.node_changes = 0
         self.is_registered = False
         self.store = StorePicture()
         self.replicas_listed = False
