Rank the owners of a shard in one place for both limits

No change of behaviour: the limit of cold replicas and the lenders of rate limits each ranked the owners of a shard in a failure domain. Found while reading the whole change. 21 scenarios of warmup_limit and 6 of rate_limit hold; the whole script was not run after it.

--- a/packages/bluebellbay/bluebellbay/coordination/routing/memberships.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/memberships.py
@@ -58,18 +58,13 @@
         :returns: The names, those of the replica's failure domain first; none
             if the set is not divided.
         """
-        if len(shards) < MIN_DIVIDED_SHARDS:
-            return []
-        found: list[str] = []
-        for domain in self._list_domains(record):
-            names = self._list_names(domain)
-            if len(names) < MIN_NODES:
-                continue
-            count = math.ceil(len(shards) / SHARDS_PER_OWNER)
-            owners = rank_names(names, shards[0])[:count]
-            service = record.entry.service
-            found.extend(rank_names(owners, service)[:CONNECTED_OWNERS])
-        return found
+        return [
+            name
+            for domain in self._list_domains(record)
+            for name in self._rank_owners(domain, record, shards)[
+                :CONNECTED_OWNERS
+            ]
+        ]
 
     def list_lenders(
         self, record: ReplicaRecord, shards: tuple[str, ...]
@@ -97,12 +92,24 @@
     def _find_lender(
         self, domain: str, record: ReplicaRecord, shards: tuple[str, ...]
     ) -> str:
+        owners = self._rank_owners(domain, record, shards)
+        if owners:
+            return owners[0]
+        return rank_names(self._list_names(domain), record.entry.replica_id)[0]
+
+    def _rank_owners(
+        self, domain: str, record: ReplicaRecord, shards: tuple[str, ...]
+    ) -> tuple[str, ...]:
+        """Rank the owners of the replica's shard in a failure domain.
+
+        :returns: Their names; none if the set is not divided there.
+        """
         names = self._list_names(domain)
         if len(shards) < MIN_DIVIDED_SHARDS or len(names) < MIN_NODES:
-            return rank_names(names, record.entry.replica_id)[0]
+            return ()
         count = math.ceil(len(shards) / SHARDS_PER_OWNER)
         owners = rank_names(names, shards[0])[:count]
-        return rank_names(owners, record.entry.service)[0]
+        return rank_names(owners, record.entry.service)
 
     def _list_domains(self, record: ReplicaRecord) -> list[str]:
         near = record.entry.failure_domain
