Pass on no status that denies a run which the replica has not denied

Callers saw: a posting ran at a replica, which failed it with 503 and did not state that nothing ran. The node passed the 503 on. To a caller that must not repeat, a 503 promises that nothing ran, so it posted again: settled twice.

Cause: the node read Bluebellbay-Not-Executed to decide about its own retries, but not before it passed the status on.

Change: the adapter marks a reply whose status (408, 421, 429, 503) says not run although the replica hasn't said so. For a request that is not idempotent it counts as a failure after a run: 502, without the replica's signature. A request that may be repeated gets the replica's answer as before.

Ruled out: an error of the node itself (502 and 504 after a send), a copy of another answer (the replica sends one answer a request).

--- a/features/replica_answers.feature
+++ b/features/replica_answers.feature
@@ -20,6 +20,26 @@
   Scenario: A replica's headers are forwarded as this node's
     Then only a replica's own 503 keeps its Retry-After, and none its leaving
 
+  # Guards against a caller that posts again what has run (review/6).
+  Scenario Outline: A replica's own <status> tells a caller that its posting did not run
+    Given a route for postings and one for requests that may be repeated
+    When the replica runs each and answers <status> with "<headers>"
+    Then the posting is answered 502 with nothing that the replica said
+    And the other request is answered <status> as the replica did
+
+    Examples:
+      | status | headers                                 |
+      | 408    | bluebellbay-response-signature: a       |
+      | 429    | retry-after: 2                          |
+      | 503    | bluebellbay-response-signature: a       |
+      | 503    | retry-after: 2, server-leaving: 1       |
+
+  Scenario: A status that promises nothing is kept from a posting
+    Then a posting that ran gets each status from 300 to 599 but 408, 429 and 503
+
+  Scenario: An error of a request that may have run says that it did not
+    Then no error of a request that may have run has status 408, 421, 429 or 503
+
   Scenario Outline: A request reaches a replica that is leaving: <answer>
     Given routes to replicas in zone-a, zone-b and zone-c, in zone-a itself
     When a "<answer>" of replica "s-zone-a" says "server-leaving: 1"
--- a/features/steps/replica_answers_steps.py
+++ b/features/steps/replica_answers_steps.py
@@ -17,7 +17,9 @@
 from routing_harness import RoutingHarness
 from routing_history_steps import SEEDS
 
+from bluebellbay.protocol.exchange import AttemptReplied
 from bluebellbay.protocol.exchange import ErrorAnswer
+from bluebellbay.protocol.exchange import RoutingErrorKind
 from bluebellbay.protocol.exchange import SendAttempt
 from bluebellbay.protocol.process import LogDecision
 from bluebellbay.protocol.registry import CloseReplicaConnections
@@ -72,6 +74,90 @@
         assert PlatformWire().decode_reply(answer).forwarded == kept, status
 
 
+def run_at_replica(harness, exchange, route, answer):
+    """Open a request that a replica answers, and encode the caller's."""
+    harness.open_exchange(exchange, route)
+    (number,) = harness.list_open_attempts()
+    harness.attempts[number].ended = True
+    reply = PlatformWire().decode_reply(answer)
+    harness.feed(AttemptReplied(attempt=number, reply=reply))
+    return PlatformWire().encode_answer(harness.answers[exchange], close=False)
+
+
+def read_status(encoded):
+    return int(encoded.split(b" ")[1])
+
+
+@behave.given("a route for postings and one for requests that may be repeated")
+def step_post_routes(context):
+    harness = context.harness = RoutingHarness()
+    harness.configure(
+        1,
+        build_route("post", service="s", idempotent=False),
+        build_route("get", service="s", attempt_limit=1),
+    )
+    harness.add_replicas(build_replica("s-0", "s"))
+
+
+@behave.when('the replica runs each and answers {status:d} with "{headers}"')
+def step_run_each(context, status, headers):
+    answer = CallAnswered(
+        status=status, body=b"failed", headers=build_headers(headers)
+    )
+    context.encoded = {
+        route: run_at_replica(context.harness, number, route, answer)
+        for number, route in enumerate(("post", "get"))
+    }
+
+
+@behave.then("the posting is answered 502 with nothing that the replica said")
+def check_no_promise(context):
+    encoded = context.encoded["post"]
+    assert read_status(encoded) == 502, encoded
+    for word in (b"signature", b"Retry-After: 2\r", b"leaving", b"failed"):
+        assert word.lower() not in encoded.lower(), encoded
+
+
+@behave.then("the other request is answered {status:d} as the replica did")
+def check_same(context, status):
+    encoded = context.encoded["get"]
+    assert read_status(encoded) == status, encoded
+    assert encoded.endswith(b"\r\n\r\nfailed"), encoded
+
+
+@behave.then(
+    "a posting that ran gets each status from 300 to 599 but 408, 429 and 503"
+)
+def check_statuses(context):
+    step_post_routes(context)
+    # 421 says by itself that the replica did not run the request.
+    changed = {
+        status
+        for status in set(range(300, 600)) - {421}
+        if status
+        != read_status(
+            run_at_replica(
+                context.harness,
+                status,
+                "post",
+                CallAnswered(status=status, body=b"", headers=()),
+            )
+        )
+    }
+    assert changed == {408, 429, 503}, changed
+
+
+@behave.then(
+    "no error of a request that may have run has status 408, 421, 429 or 503"
+)
+def check_errors(context):
+    del context
+    for kind in RoutingErrorKind:
+        answer = ErrorAnswer(exchange=1, kind=kind, ran=True)
+        encoded = PlatformWire().encode_answer(answer, close=False)
+        assert read_status(encoded) not in (408, 421, 429, 503), kind
+
+
 @behave.when('a "{answer}" of replica "{name}" says "{headers}"')
 def step_tell(context, answer, name, headers):
     harness = context.harness
--- a/packages/bluebellbay/bluebellbay/coordination/routing/forward.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/forward.py
@@ -26,6 +26,10 @@
 class ForwardTask(RequestTask, QueuedRequest):
     """Forwards a replica's reply unchanged.
 
+    The exceptions are replies that would mislead the caller: a success that
+    is not signed, and, if the request is not idempotent, a status that says
+    that it did not run, although the replica has not said so.
+
     :param arrival: The request, its route and its time of arrival.
     :param service: Name of the service that handles it.
     """
@@ -155,13 +159,21 @@
         self.fail(RoutingErrorKind.TIMED_OUT, now, sends=self._leg.send_count)
 
     def handle_reply(self, leg: Leg, reply: ReplicaReply, now: float) -> None:
-        """Forward the reply, or fail if a success lacks its digest.
+        """Forward the reply, or fail if it would mislead the caller.
 
         :param reply: The replica's reply.
         :param now: Current Unix time in seconds.
         """
-        if 200 <= reply.status < 300 and not reply.succeeded:
-            self.fail(RoutingErrorKind.REPLICA_FAILED, now, reason="no digest")
+        reason = self._find_untruth(reply)
+        if reason is not None:
+            self.fail(
+                RoutingErrorKind.REPLICA_FAILED,
+                now,
+                reason=reason,
+                status=reply.status,
+                service=leg.service,
+                sends=leg.send_count,
+            )
             return
         self._queue.record_served(self, now)
         self.answer(
@@ -190,6 +202,14 @@
             sends=leg.send_count,
         )
 
+    def _find_untruth(self, reply: ReplicaReply) -> str | None:
+        """Tell why a reply must not be forwarded, if so."""
+        if 200 <= reply.status < 300 and not reply.succeeded:
+            return "no digest"
+        if reply.denies_run and not self.route.idempotent:
+            return "the status says not run, the replica does not"
+        return None
+
     def _note_decision(self, decision: QueueDecision, now: float) -> None:
         """Set the end of a wait, and log it."""
         if decision.action is not Action.WAIT or self.finished:
--- a/packages/bluebellbay/bluebellbay/protocol/exchange.py
+++ b/packages/bluebellbay/bluebellbay/protocol/exchange.py
@@ -90,12 +90,15 @@
         it gave none.
     :param forwarded: Header lines to forward to the caller.
     :param body: The body.
+    :param denies_run: Whether a caller takes the status for a promise that
+        the request did not run, which this replica has not given.
     """
 
     status: int
     digest: str
     forwarded: bytes
     body: bytes
+    denies_run: bool = False
 
     @property
     def succeeded(self) -> bool:
