Show a lost answer of a watch by the store itself, not by a copy

Callers saw: a configuration without a route was acknowledged, and requests on the route ran up to 7.2 s later, as the answer of one watch was lost while copies of the store were 5.5 s old. Removals of replicas were read late in the same way.

Cause: such a watch looks like one without changes, and the check that finds it read a copy, which tells of a change as late as it is old. Nothing held how long ago the store itself had confirmed what the node knows.

Change: transport.store_age holds that; watches, first pages and checks tell it. A check reads the store itself before that age leaves too little of the limit on a change. No copy is asked any more, so the era's check of copies is gone. 'A watch without changes' now makes 11 checks in 20 s, not 13. The bound of 'Fewer calls never delay a change' was on two intervals and the age of a copy; it is on one interval now, and on the smaller of both limits. The batch beside a listing is judged without answered checks, as these do confirm.

Ruled out: the end of the connection (it is sound), the backoff (0.15 s), a late application (the same millisecond).

--- a/features/follower.feature
+++ b/features/follower.feature
@@ -88,7 +88,7 @@
   Scenario: A watch without changes lasts, and is checked at little cost
     Given a follower of a store at revision 5
     When 20 s pass without a change
-    Then it has made 1 watch and 13 checks
+    Then it has made 1 watch and 11 checks
 
   Scenario: A watch whose answer was lost is replaced
     Given a follower of a store at revision 5
--- a/features/steps/faulty_store.py
+++ b/features/steps/faulty_store.py
@@ -2,12 +2,15 @@
 
 import json
 import threading
+import time
 from urllib.parse import parse_qs
 from urllib.parse import urlsplit
 
 from fake_platform import FakeStore
 
 SILENCE_S = 60.0
+# No key begins so.
+NO_ITEMS_PREFIX = "none/"
 UNAVAILABLE = 503
 GONE = 410
 
@@ -18,7 +21,10 @@
     :ivar refuses_all: Whether every call is refused.
     :ivar refuses_every_second: Whether every second call is refused.
     :ivar delay_s: Seconds until a call is answered.
-    :ivar checks: Number of stale reads so far.
+    :ivar checks: Number of reads of the revision alone so far.
+    :ivar copy_age_s: Age in seconds of the store's copies.
+    :ivar loses_next_change: Whether the answer of the next watch that tells a
+        change is lost.
     """
 
     def __init__(self):
@@ -26,6 +32,10 @@
         self.refuses_every_second = False
         self.delay_s = 0.0
         self.checks = 0
+        self.copy_age_s = 0.0
+        self.loses_next_change = False
+        # Time and revision of each change.
+        self._written = []
         self._calls = 0
         self._cuts = 0
         self._era = 0
@@ -72,7 +82,7 @@
         url = urlsplit(request.path)
         query = parse_qs(url.query, keep_blank_values=True)
         self._calls += 1
-        if "allow-stale" in query:
+        if url.path == "/-/kv-range" and query["prefix"] == [NO_ITEMS_PREFIX]:
             self.checks += 1
         if self.refuses_all or (self.refuses_every_second and self._calls % 2):
             request.answer(UNAVAILABLE, **self.build_headers(query))
@@ -83,7 +93,7 @@
         if cuts != self._cuts and url.path == "/-/kv-watch":
             request.close_connection = True
             return
-        if request.era != self._era:
+        if request.era != self._era or self._loses(url.path, answer):
             self._ended.wait(SILENCE_S)
             request.close_connection = True
             return
@@ -95,6 +105,26 @@
         else:
             request.answer(200, json.dumps(answer).encode(), **headers)
 
+    def put_text(self, key, text):
+        with self._changed:
+            super().put_text(key, text)
+            self._written.append((time.monotonic(), self.revision))
+
+    def _loses(self, path, answer):
+        """Tell whether the answer of a watch is lost; one is, if set so."""
+        tells = path == "/-/kv-watch" and answer and answer["events"]
+        if not tells or not self.loses_next_change:
+            return False
+        self.loses_next_change = False
+        return True
+
+    def _find_copied_revision(self):
+        until = time.monotonic() - self.copy_age_s
+        return max(
+            (revision for at, revision in self._written if at <= until),
+            default=1,
+        )
+
     def build_headers(self, query):
         """Build the headers that all answers have."""
         del query
@@ -105,6 +135,8 @@
             item = self.items[query["key"][0]]
             return {**item, "store-revision": self.revision}
         answer = super()._answer(path, query, body)
+        if "allow-stale" in query:
+            answer["store-revision"] = self._find_copied_revision()
         if path == "/-/kv-watch" and self._has_lost(int(query["after"][0])):
             return None
         return answer
--- a/features/steps/simulated_store.py
+++ b/features/steps/simulated_store.py
@@ -13,11 +13,14 @@
 from bluebellbay.transport.store import StorePage
 from bluebellbay.transport.store import StoreUnavailable
 from bluebellbay.transport.store_era import StoreEras
+from bluebellbay_platform.store import REVISION_PATH
 
 ANSWER_S = 0.004
 TIMEOUT_S = 1.5
 POLL_S = 0.01
 HEARTBEAT_S = 1.2
+# A check that may be answered by a copy of the store is as old as the copy.
+READS_COPIES = "allow-stale" in REVISION_PATH
 LAPSE_S = 3 * HEARTBEAT_S
 
 
@@ -48,7 +51,7 @@
     :param page_items: Largest number of items on a page.
     :param outages: When the store is away.
     :param silent_at: Times at which the open connections go silent.
-    :param copy_age_s: Age of the copy that answers checks.
+    :param copy_age_s: Age of the store's copies.
     """
 
     def __init__(
@@ -164,7 +167,8 @@
 
     async def read_revision(self):
         await self._wait_for_answer()
-        copied_until = self.now - self._copy_age_s
+        age_s = self._copy_age_s if READS_COPIES else 0.0
+        copied_until = self.now - age_s
         return max(
             (
                 item.revision
--- a/features/steps/store_age_steps.py
+++ b/features/steps/store_age_steps.py
@@ -130,6 +130,20 @@
     write_configuration(context)
 
 
+@behave.given("copies of the store are {age_s:g} s old")
+def age_copies(context, age_s):
+    context.store.copy_age_s = age_s
+
+
+@behave.when("the answer of the watch is lost and a configuration is written")
+def lose_and_write(context):
+    # The pause after the changes at the start has passed then.
+    wait_for_check(context)
+    context.store.loses_next_change = True
+    write_configuration(context)
+    assert wait_for(lambda: not context.store.loses_next_change)
+
+
 @behave.when(
     "every second call is refused, the history is gone and a configuration "
     "is written"
--- a/features/store_age.feature
+++ b/features/store_age.feature
@@ -11,6 +11,20 @@
     Then the configuration is reported within 4 s
     And all 16 entries are reported
 
+  # Guards against a check that is answered by an old copy (review/9).
+  Scenario Outline: A change is late after the answer of a watch alone was lost: copies <age> s old
+    Given a follower of a faulty store with 16 entries in pages of 500
+    And copies of the store are <age> s old
+    When the answer of the watch is lost and a configuration is written
+    Then the configuration is reported within 3 s
+    When the answer of the watch is lost and a configuration is written
+    Then the configuration is reported within 3 s
+
+    Examples:
+      | age |
+      | 0   |
+      | 5.5 |
+
   Scenario Outline: A change is late while a listing is refused: <entries> entries, <page> a page
     Given a follower of a faulty store with <entries> entries in pages of <page>
     When every second call is refused, the history is gone and a configuration is written
--- a/packages/bluebellbay/bluebellbay/transport/follower.py
+++ b/packages/bluebellbay/bluebellbay/transport/follower.py
@@ -10,7 +10,6 @@
 
 from bluebellbay.protocol.node import NodeEntry
 from bluebellbay.protocol.registry import StoreAnswered
-from bluebellbay.protocol.registry import StoreConfirmed
 from bluebellbay.protocol.registry import StoreConnectionLost
 from bluebellbay.protocol.registry import StoreConnectionRestored
 from bluebellbay.protocol.registry import StoreEraChanged
@@ -22,6 +21,7 @@
 from bluebellbay.transport.store import StoreRestored
 from bluebellbay.transport.store import StoreSchema
 from bluebellbay.transport.store import StoreUnavailable
+from bluebellbay.transport.store_age import StoreAge
 from bluebellbay.transport.store_listing import StoreListing
 from bluebellbay.transport.store_pace import StorePace
 from bluebellbay.transport.watch_guard import WatchGuard
@@ -77,8 +77,12 @@
         self._count_nodes = count_nodes
         self._reactor = reactor
         self._client = client
+        self._age = StoreAge(reactor=reactor, report=report)
         self._guard = WatchGuard(
-            reactor=reactor, client=client, report_answer=self._report_answer
+            reactor=reactor,
+            client=client,
+            age=self._age,
+            report_answer=self._report_answer,
         )
         self._schema = schema
         self._report = report
@@ -99,10 +103,6 @@
         self._lost = False
         # Whether the store was restored since the last listing began.
         self._restored = False
-        # When the last answer came that holds all changes until then.
-        self._read_at = 0.0
-        # Pause before the present watch.
-        self._batch_delay_s = 0.0
         self._listing: StoreListing | None = None
         self._listing_task: Deferred[None] | None = None
         self._tasks: list[Deferred[None]] = []
@@ -157,6 +157,7 @@
 
     def _renew_listing(self, cause: str) -> StoreListing:
         self._cancel_listing()
+        self._age.begin_listing()
         listing = self._listing = StoreListing(
             reactor=self._reactor,
             client=self._client,
@@ -175,10 +176,11 @@
 
     async def _begin_listing(self, listing: StoreListing) -> int:
         """Read the first page; the others are read during the watch."""
+        asked_at = self._reactor.seconds()
         page = await listing.read_first_page()
         # The page is of the present era, also if its answer has begun that.
         self._restored = False
-        self._note_read()
+        self._age.confirm(asked_at)
         self._report_answer()
         self._report_regained()
         self._listing_task = Deferred.fromCoroutine(
@@ -201,19 +203,11 @@
                 self._report_exception(error)
                 await backoff.wait()
         self._listing = None
-        self._report_confirmed()
+        self._age.end_listing()
 
     def _report_answer(self) -> None:
         self._report(StoreAnswered())
 
-    def _note_read(self) -> None:
-        self._read_at = self._reactor.seconds()
-
-    def _report_confirmed(self) -> None:
-        # What a listing has not read yet is older than the changes since.
-        if self._listing is None:
-            self._report(StoreConfirmed(confirmed_at=self._read_at))
-
     async def _read_changes(self, revision: int) -> int:
         nodes = self._count_nodes()
         # After a failure short watches notice the store's return early.
@@ -221,12 +215,10 @@
         changes = await self._guard.watch(
             revision,
             watch_s,
-            first_check_s=self.pace.compute_first_check(self._batch_delay_s),
+            first_check_s=self.pace.compute_first_check(self._age.measure()),
             check_interval_s=self.pace.check_interval_s,
         )
-        is_present = not self.pace.may_be_partial(changes.items)
-        if is_present:
-            self._note_read()
+        answered_at = self._reactor.seconds()
         self._report_regained()
         items = changes.items
         if self._listing is not None:
@@ -234,13 +226,11 @@
         for item in items:
             for event in self._schema.decode_change(item):
                 self._report(event)
-        if is_present:
-            self._report_confirmed()
-        self._batch_delay_s = self.pace.compute_batch_delay(
-            nodes, changes.items
-        )
-        if self._batch_delay_s > 0:
-            await deferLater(self._reactor, self._batch_delay_s)
+        if not self.pace.may_be_partial(changes.items):
+            self._age.confirm(answered_at)
+        batch_delay_s = self.pace.compute_batch_delay(nodes, changes.items)
+        if batch_delay_s > 0:
+            await deferLater(self._reactor, batch_delay_s)
         return max(revision, changes.revision)
 
     def _handle_era(self, era: int, former: int | None) -> None:
--- a/packages/bluebellbay/bluebellbay/transport/store.py
+++ b/packages/bluebellbay/bluebellbay/transport/store.py
@@ -109,11 +109,11 @@
         """
 
     @abc.abstractmethod
-    async def read_revision(self) -> int | None:
-        """Read the revision of the store, at a fraction of a call's price.
+    async def read_revision(self) -> int:
+        """Read the revision of the store itself, not of a copy.
 
-        :returns: A revision that the store had up to some seconds ago;
-            ``None`` if it was before the store's present era.
+        :returns: A revision that holds all that the store had accepted when
+            it was asked.
         """
 
     @abc.abstractmethod
--- a/packages/bluebellbay/bluebellbay/transport/store_era.py
+++ b/packages/bluebellbay/bluebellbay/transport/store_era.py
@@ -38,7 +38,7 @@
     def check(
         self, era: int | None, *, called_in: int | None, begins: bool
     ) -> None:
-        """Check an answer of the store itself, not of a copy.
+        """Check an answer of the store.
 
         :param era: Era that the answer names; ``None`` if it names none.
         :param called_in: Era in which the call was made.
@@ -58,24 +58,6 @@
         if called_in not in {None, era} and not begins:
             raise StoreRestored
 
-    def check_copy(self, era: int | None, *, called_in: int | None) -> bool:
-        """Check an answer of a copy of the store.
-
-        :param era: Era that the answer names; ``None`` if it names none.
-        :param called_in: Era in which the call was made.
-        :returns: Whether it is of the present era; a copy may be of an
-            earlier one.
-        :raises StoreRestored: If the answer is of a later era than the call.
-        """
-        if era is None:
-            return True
-        if self._current is not None and era < self._current:
-            return False
-        self._note(era)
-        if called_in not in {None, era}:
-            raise StoreRestored
-        return True
-
     def _note(self, era: int) -> None:
         self._earlier_answers = 0
         former, self._current = self._current, era
--- a/packages/bluebellbay/bluebellbay/transport/store_pace.py
+++ b/packages/bluebellbay/bluebellbay/transport/store_pace.py
@@ -7,15 +7,19 @@
 
 import dataclasses
 
+from bluebellbay.protocol.store_allowance import SEND_MARGIN_S
 from bluebellbay.protocol.store_allowance import StoreAllowance
 from bluebellbay.transport.store import StoreItem
 
 # A batch this large may be incomplete, so the next call is made at once.
 LARGE_BATCH_ITEMS = 200
 LARGE_BATCH_BYTES = 262_144
-# Part of the time after an outage for the calls that follow a check: the rest
-# of the watch's way, a backoff, and reading the changes.
-CATCH_UP_CALLS_S = 1.0
+# Part of a limit for what follows a check that finds a loss: the rest of the
+# watch's way, a backoff, and the next watch.
+CATCH_UP_S = 1.0
+# Longest time until a check on a silent connection has failed, and the next
+# call was answered on another one.
+SILENT_CHECK_S = 2.0
 # A watch that is answered at once needs no check.
 MIN_CHECK_DELAY_S = 0.5
 
@@ -31,23 +35,26 @@
 
     @property
     def check_interval_s(self) -> float:
-        """Seconds between two checks of a watch.
+        """Seconds after which what is known is confirmed by a check.
 
-        Two checks fit into the time after an outage, as what the first one
-        reads may be older than the outage's end.
+        A watch may have been lost at once, so what is missed then must take
+        effect in the rest of its limit.
         """
-        return (self.allowance.recovery_limit_s - CATCH_UP_CALLS_S) / 2
-
-    def compute_first_check(self, batch_delay_s: float) -> float:
+        allowance = self.allowance
+        limit_s = min(allowance.change_limit_s, allowance.removal_limit_s)
+        interval_s = min(
+            limit_s - SEND_MARGIN_S - CATCH_UP_S,
+            allowance.recovery_limit_s - SILENT_CHECK_S,
+        )
+        return max(MIN_CHECK_DELAY_S, interval_s)
+
+    def compute_first_check(self, age_s: float) -> float:
         """Compute when a watch is checked first.
 
-        The connections may have gone silent as the batch delay before it
-        began, so that delay is a part of the interval.
-
-        :param batch_delay_s: Seconds between the last answer and the watch.
+        :param age_s: Age in seconds of what is known, when the watch begins.
         :returns: Seconds since the watch began.
         """
-        return max(MIN_CHECK_DELAY_S, self.check_interval_s - batch_delay_s)
+        return max(MIN_CHECK_DELAY_S, self.check_interval_s - age_s)
 
     def may_be_partial(self, batch: tuple[StoreItem, ...]) -> bool:
         """Tell whether a batch is so large that the store may have cut it.
--- a/packages/bluebellbay/bluebellbay/transport/watch_guard.py
+++ b/packages/bluebellbay/bluebellbay/transport/watch_guard.py
@@ -11,6 +11,7 @@
 from bluebellbay.transport.store import StoreItems
 from bluebellbay.transport.store import StoreRestored
 from bluebellbay.transport.store import StoreUnavailable
+from bluebellbay.transport.store_age import StoreAge
 
 # The answer of a watch takes no longer on its way than that of a check.
 ANSWER_GRACE_S = 0.5
@@ -20,11 +21,12 @@
     """Checks during a watch whether the store is ahead of it.
 
     A watch whose answer was lost, or whose connection is dead, looks like one
-    without changes. So the store's revision is read now and then, which costs
-    a tenth of a watch; watches can be long then.
+    without changes. So the store itself is asked for its revision before what
+    is known gets too old. A copy would show a loss later by its own age.
 
     :param reactor: Twisted reactor.
     :param client: Makes the calls to the store.
+    :param age: Told when a check shows that nothing was missed.
     :param report_answer: Called with each answer of the store.
     """
 
@@ -33,11 +35,13 @@
         *,
         reactor: Any,
         client: StoreClient,
+        age: StoreAge,
         report_answer: Callable[[], None],
     ) -> None:
         self._report_answer = report_answer
         self._reactor = reactor
         self._client = client
+        self._age = age
         self._fault: str | None = None
         self._watch: Deferred[StoreItems] | None = None
 
@@ -109,6 +113,7 @@
         watch.cancel()
 
     async def _find_fault(self, after: int) -> str | None:
+        asked_at = self._reactor.seconds()
         try:
             revision = await self._client.read_revision()
         except CancelledError:
@@ -119,7 +124,8 @@
         except Exception as error:
             return f"a check failed: {error}"
         self._report_answer()
-        if revision is None or revision <= after:
+        if revision <= after:
+            self._age.confirm(asked_at)
             return None
         await deferLater(self._reactor, ANSWER_GRACE_S)
         return f"the watch did not report revision {revision}"
