Let an answer of the store pass while its bytes arrive

Callers saw: after ten entries of 1,000,000 bytes of another writer, VMs on links of 24.5 Mbit/s applied no change any more; requests ran on a dropped route for the 12 s that were watched, and on.

Cause: the answer of the watch takes 4.4 s. The guard found the store ahead, waited 0.5 s, and cut the answer that was under way; the same watch was made again, and cut again. The call's own time-out would cut it too.

Change: connections count the bytes of the response under way. A call of the store goes on past its time-out while bytes arrive, and the guard cuts no answer that arrives. Meanwhile the configuration is read by its key and the evacuations by their prefix, at each check; what the watch tells of them later counts only if it is newer. A large answer confirms what the store had accepted by its first byte, not by its last.

Ruled out: the bound on a body (13.3 MB are below it), the entries' decoding (left out one by one on a fast link).

The test failed before: 'version 2 is in force, not 3' after 3 s, with 10 entries at 24.5 and 3 at 5 Mbit/s.

--- a/features/steps/faulty_store.py
+++ b/features/steps/faulty_store.py
@@ -1,5 +1,6 @@
 """A store over sockets whose answers can be refused or fall silent."""
 
+import contextlib
 import json
 import threading
 import time
@@ -11,10 +12,51 @@
 SILENCE_S = 60.0
 # No key begins so.
 NO_ITEMS_PREFIX = "none/"
+LINK_CHUNK_BYTES = 8192
+# What a late timer has left unused is made up for.
+LINK_SLACK_S = 0.05
 UNAVAILABLE = 503
 GONE = 410
 
 
+class ThinLink:
+    """A link that all connections share.
+
+    :param bytes_per_s: Bytes that it carries in a second.
+    """
+
+    def __init__(self, bytes_per_s):
+        self._bytes_per_s = bytes_per_s
+        self._lock = threading.Lock()
+        self._free_at = 0.0
+
+    def wait(self, size):
+        """Wait until so many more bytes have been carried."""
+        with self._lock:
+            now = time.monotonic()
+            self._free_at = max(now - LINK_SLACK_S, self._free_at)
+            self._free_at += size / self._bytes_per_s
+            left_s = self._free_at - now
+        time.sleep(max(0.0, left_s))
+
+
+class LinkedFile:
+    """What a connection writes, over a link."""
+
+    def __init__(self, file, link):
+        self._file = file
+        self._link = link
+
+    def write(self, data):
+        for start in range(0, len(data), LINK_CHUNK_BYTES):
+            chunk = data[start : start + LINK_CHUNK_BYTES]
+            self._link.wait(len(chunk))
+            self._file.write(chunk)
+
+    def __getattr__(self, name):
+        return getattr(self._file, name)
+
+
 class FaultyStore(FakeStore):
     """The fake store, with lost history and faults.
 
@@ -23,6 +65,7 @@
     :ivar delay_s: Seconds until a call is answered.
     :ivar checks: Number of reads of the revision alone so far.
     :ivar copy_age_s: Age in seconds of the store's copies.
+    :ivar link: The link that answers come over; none if it is fast.
     :ivar loses_next_change: Whether the answer of the next watch that tells a
         change is lost.
     """
@@ -33,6 +76,7 @@
         self.delay_s = 0.0
         self.checks = 0
         self.copy_age_s = 0.0
+        self.link = None
         self.loses_next_change = False
         # Time and revision of each change.
         self._written = []
@@ -97,7 +141,12 @@
             self._ended.wait(SILENCE_S)
             request.close_connection = True
             return
-        headers = self.build_headers(query)
+        if self.link is not None:
+            request.wfile = LinkedFile(request.wfile, self.link)
+        with contextlib.suppress(OSError):
+            self._send(request, answer, self.build_headers(query))
+
+    def _send(self, request, answer, headers):
         if answer is None:
             request.answer(GONE, b"{}", **headers)
         elif isinstance(answer, int):
--- a/features/steps/follower_steps.py
+++ b/features/steps/follower_steps.py
@@ -64,6 +64,9 @@
     async def read_item(self, key):
         raise NotImplementedError
 
+    async def read_prefix(self, prefix):
+        raise NotImplementedError
+
     async def watch(self, after, wait_s):
         self.watched_revisions.append(after)
         self.watch_durations.append(wait_s)
--- a/features/steps/simulated_store.py
+++ b/features/steps/simulated_store.py
@@ -144,6 +144,14 @@
         await self._wait_for_answer()
         return self._items.get(key)
 
+    async def read_prefix(self, prefix):
+        await self._wait_for_answer()
+        return tuple(
+            item
+            for key, item in sorted(self._items.items())
+            if key.startswith(prefix)
+        )
+
     async def watch(self, after, wait_s):
         called_at = self.now
         await self._wait_for_answer(wait_s)
--- a/features/steps/store_age_steps.py
+++ b/features/steps/store_age_steps.py
@@ -7,6 +7,7 @@
 from _reactor_thread import call_in_reactor
 import behave
 from faulty_store import FaultyStore
+from faulty_store import ThinLink
 from following_node import FollowingNode
 from platform_world import wait_for
 from routing_harness import build_configuration
@@ -30,6 +31,7 @@
 LISTING_TIMEOUT_S = 300
 SLOW_ANSWER_S = 0.3
 LONGEST_REASON = 200
+BYTES_PER_MEGABIT = 1_000_000 / 8
 ENTRY = {
     "service": "s",
     "address": "127.0.0.1:80",
@@ -135,6 +137,34 @@
     context.store.copy_age_s = age_s
 
 
+@behave.given("its link carries {megabits_per_s:g} Mbit/s")
+def thin_link(context, megabits_per_s):
+    # The pause after the changes at the start has passed then.
+    wait_for_check(context)
+    context.store.link = ThinLink(megabits_per_s * BYTES_PER_MEGABIT)
+
+
+@behave.when("another writer leaves {count:d} entries of {size:d} bytes")
+def write_large_entries(context, count, size):
+    for number in range(count):
+        context.store.put_bytes(f"servers/junk-{number:03d}", b"\xff" * size)
+
+
+@behave.when("an entry of a replica is written")
+def write_entry(context):
+    context.store.put(NEW_KEY, ENTRY)
+
+
+@behave.then("the log tells that changes were long on their way")
+def check_lateness_told(context):
+    lines = [
+        line
+        for line in context.node.lines
+        if line.sentence.startswith("Changes of the store are long")
+    ]
+    assert 0 < len(lines) < 20, len(lines)
+
+
 @behave.when("the answer of the watch is lost and a configuration is written")
 def lose_and_write(context):
     # The pause after the changes at the start has passed then.
--- a/features/store_age.feature
+++ b/features/store_age.feature
@@ -25,6 +25,24 @@
       | 0   |
       | 5.5 |
 
+  # Guards against a watch that is cut while its answer arrives (review/7).
+  Scenario Outline: A change is never read behind large entries on a thin link: <entries> entries, <link> Mbit/s
+    Given a follower of a faulty store with 16 entries in pages of 500
+    And its link carries <link> Mbit/s
+    When another writer leaves <entries> entries of 1000000 bytes
+    And a configuration is written
+    Then the configuration is reported within 3 s
+    When a configuration is written
+    Then the configuration is reported within 3 s
+    When an entry of a replica is written
+    Then all 17 entries are reported
+    And the log tells that changes were long on their way
+
+    Examples:
+      | entries | link |
+      | 10      | 24.5 |
+      | 3       | 5    |
+
   Scenario Outline: A change is late while a listing is refused: <entries> entries, <page> a page
     Given a follower of a faulty store with <entries> entries in pages of <page>
     When every second call is refused, the history is gone and a configuration is written
--- a/packages/bluebellbay/bluebellbay/coordination/routing/replicas.py
+++ b/packages/bluebellbay/bluebellbay/coordination/routing/replicas.py
@@ -27,6 +27,7 @@
 from bluebellbay.protocol.registry import StoreConnectionLost
 from bluebellbay.protocol.registry import StoreConnectionRestored
 from bluebellbay.protocol.registry import StoreListed
+from bluebellbay.protocol.registry import StoreReadAhead
 from bluebellbay.protocol.replica import ReplicaEntry
 from bluebellbay.state.replica import ReplicaRecord
 from bluebellbay.state.store_picture import RestoredItem
@@ -69,6 +70,7 @@
             StoreConnectionLost: self._handle_store_lost,
             StoreConnectionRestored: self._handle_store_regained,
             StoreListed: self._handle_store_listed,
+            StoreReadAhead: self._handle_read_ahead,
             TimerTick: self._handle_time,
         }
 
@@ -286,6 +288,18 @@
             **outcome,
         )
 
+    def _handle_read_ahead(self, event: StoreReadAhead, now: float) -> None:
+        del now
+        outcome = {"error": event.error} if event.error else {}
+        self.context.log(
+            "Changes of the store are long on their way; what must not wait "
+            "was read by itself.",
+            items=event.items,
+            received_bytes=event.received_bytes,
+            unconfirmed_s=round(event.age_s, 2),
+            **outcome,
+        )
+
     def _handle_time(self, event: object, now: float) -> None:
         del event
         for entry in self._gone.pop_proven(now):
--- a/packages/bluebellbay/bluebellbay/protocol/registry.py
+++ b/packages/bluebellbay/bluebellbay/protocol/registry.py
@@ -111,6 +111,22 @@
     confirmed_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StoreReadAhead:
+    """Items were read by themselves, as changes are long on their way.
+
+    :param received_bytes: Bytes of the changes that have arrived.
+    :param age_s: Seconds since the store last confirmed what is known.
+    :param items: Number of items read.
+    :param error: Why they could not be read; empty if they were.
+    """
+
+    received_bytes: int
+    age_s: float
+    items: int
+    error: str = ""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StoreListed:
     """All items of the store were read, or reading them failed.
--- a/packages/bluebellbay/bluebellbay/protocol/routing.py
+++ b/packages/bluebellbay/bluebellbay/protocol/routing.py
@@ -51,6 +51,7 @@
 from bluebellbay.protocol.registry import StoreConnectionRestored
 from bluebellbay.protocol.registry import StoreEraChanged
 from bluebellbay.protocol.registry import StoreListed
+from bluebellbay.protocol.registry import StoreReadAhead
 
 RoutingEvent = (
     ExchangeOpened
@@ -72,6 +73,7 @@
     | StoreConnectionRestored
     | StoreEraChanged
     | StoreListed
+    | StoreReadAhead
     | DelegationAnswered
     | DelegationUnacknowledged
     | PeerProbed
--- a/packages/bluebellbay/bluebellbay/transport/connection.py
+++ b/packages/bluebellbay/bluebellbay/transport/connection.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 import socket
+import time
 from typing import Any
 
 import httptools
@@ -38,11 +39,14 @@
     :param status: HTTP status.
     :param headers: Name and value pairs in order, names in lower case.
     :param body: The whole body.
+    :param began_at: Time in seconds when its first byte was received, of the
+        reactor's clock.
     """
 
     status: int
     body: bytes
     headers: tuple[Header, ...] = ()
+    began_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -103,6 +107,9 @@
     :param free: Called when the connection can run another call.
     :param lost: Called when the connection is closed.
     :param budget: Bounds the bytes that all connections hold.
+    :param now: Returns the current time in seconds.
+    :ivar received_bytes: Bytes received since the call under way was written.
+    :ivar began_at: Time in seconds when the first of them was received.
     """
 
     transport: Any
@@ -113,8 +120,12 @@
         free: Callable[["Connection"], None],
         lost: Callable[["Connection"], None],
         budget: ReceiveBudget,
+        now: Callable[[], float] = time.monotonic,
     ) -> None:
         self.idle_since = 0.0
+        self.received_bytes = 0
+        self.began_at = 0.0
+        self._now = now
         self.keep_alive_timeout_s: float | None = None
         self._free = free
         self._lost = lost
@@ -195,6 +206,7 @@
         self._form = form
         self._calls += 1
         self._other_bytes = 0
+        self.received_bytes = 0
         self.transport.write(request)
 
     def on_message_begin(self) -> None:
@@ -257,6 +269,9 @@
             self._unexpected_data = True
             self.transport.abortConnection()
             return
+        if not self.received_bytes:
+            self.began_at = self._now()
+        self.received_bytes += len(data)
         self._body_grew = False
         try:
             self._parser.feed_data(data)
@@ -330,6 +345,7 @@
             status=self._parser.get_status_code(),
             headers=tuple(self._headers),
             body=b"".join(self._chunks),
+            began_at=self.began_at,
         )
 
     def _deliver_response(self) -> None:
--- a/packages/bluebellbay/bluebellbay/transport/follower.py
+++ b/packages/bluebellbay/bluebellbay/transport/follower.py
@@ -13,10 +13,13 @@
 from bluebellbay.protocol.registry import StoreConnectionLost
 from bluebellbay.protocol.registry import StoreConnectionRestored
 from bluebellbay.protocol.registry import StoreEraChanged
+from bluebellbay.protocol.registry import StoreReadAhead
 from bluebellbay.transport._backoff import Backoff
 from bluebellbay.transport.node_lease import NodeLease
+from bluebellbay.transport.priority_items import PriorityItems
 from bluebellbay.transport.store import HistoryCompacted
 from bluebellbay.transport.store import StoreClient
+from bluebellbay.transport.store import StoreItem
 from bluebellbay.transport.store import StorePage
 from bluebellbay.transport.store import StoreRestored
 from bluebellbay.transport.store import StoreSchema
@@ -83,6 +86,7 @@
             client=client,
             age=self._age,
             report_answer=self._report_answer,
+            report_late=self._begin_reading_ahead,
         )
         self._schema = schema
         self._report = report
@@ -105,6 +109,8 @@
         self._restored = False
         self._listing: StoreListing | None = None
         self._listing_task: Deferred[None] | None = None
+        self._priority_items = PriorityItems(client=client, schema=schema)
+        self._ahead_task: Deferred[None] | None = None
         self._tasks: list[Deferred[None]] = []
 
     def start(self) -> None:
@@ -120,6 +126,7 @@
             task.cancel()
         self._tasks = []
         self._cancel_listing()
+        self._cancel_reading_ahead()
 
     async def _follow_changes(self) -> None:
         backoff = Backoff(reactor=self._reactor, rng=self._rng)
@@ -157,6 +164,7 @@
 
     def _renew_listing(self, cause: str) -> StoreListing:
         self._cancel_listing()
+        self._cancel_reading_ahead()
         self._age.begin_listing()
         listing = self._listing = StoreListing(
             reactor=self._reactor,
@@ -218,14 +226,9 @@
             first_check_s=self.pace.compute_first_check(self._age.measure()),
             check_interval_s=self.pace.check_interval_s,
         )
-        answered_at = self._reactor.seconds()
+        answered_at = changes.began_at or self._reactor.seconds()
         self._report_regained()
-        items = changes.items
-        if self._listing is not None:
-            items = self._listing.add_changes(items)
-        for item in items:
-            for event in self._schema.decode_change(item):
-                self._report(event)
+        self._report_changes(self._priority_items.select_newer(changes))
         if not self.pace.may_be_partial(changes.items):
             self._age.confirm(answered_at)
         batch_delay_s = self.pace.compute_batch_delay(nodes, changes.items)
@@ -233,6 +236,45 @@
             await deferLater(self._reactor, batch_delay_s)
         return max(revision, changes.revision)
 
+    def _report_changes(self, items: tuple[StoreItem, ...]) -> None:
+        if self._listing is not None:
+            items = self._listing.add_changes(items)
+        for item in items:
+            for event in self._schema.decode_change(item):
+                self._report(event)
+
+    def _begin_reading_ahead(self) -> None:
+        if self._ahead_task is not None and not self._ahead_task.called:
+            return
+        self._ahead_task = Deferred.fromCoroutine(self._read_ahead())
+        self._ahead_task.addErrback(self._report_task_failure)
+
+    def _cancel_reading_ahead(self) -> None:
+        self._priority_items.clear()
+        if self._ahead_task is not None:
+            self._ahead_task.cancel()
+
+    async def _read_ahead(self) -> None:
+        """Read what must not wait while a watch's answer is arriving."""
+        received_bytes = self._client.count_watch_bytes()
+        items: tuple[StoreItem, ...] = ()
+        error = ""
+        try:
+            items = await self._priority_items.read()
+        except (CancelledError, StoreRestored):
+            return
+        except StoreUnavailable as failure:
+            error = str(failure)
+        self._report(
+            StoreReadAhead(
+                received_bytes=received_bytes,
+                age_s=self._age.measure(),
+                items=len(items),
+                error=error,
+            )
+        )
+        self._report_changes(items)
+
     def _handle_era(self, era: int, former: int | None) -> None:
         """Begin anew; the answer that told of the era is still handled."""
         self._report(StoreEraChanged(era=era, former=former))
--- a/packages/bluebellbay/bluebellbay/transport/pool.py
+++ b/packages/bluebellbay/bluebellbay/transport/pool.py
@@ -21,6 +21,8 @@
 from bluebellbay.transport.receive_budget import ReceiveBudget
 
 CONNECT_TIMEOUT_S = 1.0
+# Longest time for which a response may arrive past the time-out of its call.
+MAX_TRANSFER_S = 30.0
 # A server may close an idle connection slightly before its stated time-out.
 KEEP_ALIVE_MARGIN_S = 0.5
 
@@ -29,7 +31,8 @@
 class PooledCall:
     """An HTTP call that waits for, or runs on, a pooled connection.
 
-    ``timer``, ``connection`` and ``ended`` are set by the pool.
+    ``timer``, ``connection``, ``ended`` and ``seen_bytes`` are set by the
+    pool.
 
     :param method: HTTP method.
     :param path: Path on the server.
@@ -46,6 +49,9 @@
     :param key: Names what is asked. Calls with the same key are written on
         different connections, as a late copy of the response to one would be
         taken for the response to the next.
+    :param stall_s: Time in seconds without a byte after which the call fails
+        at last. A call whose response is arriving goes on past ``timeout_s``,
+        for ``MAX_TRANSFER_S`` at most; without a value it does not.
     """
 
     timeout_s: float
@@ -58,9 +64,18 @@
     form: ResponseForm = DEFAULT_FORM
     max_idle_s: float | None = None
     key: bytes = b""
+    stall_s: float | None = None
     timer: DelayedCall | None = None
     connection: Connection | None = None
     ended: bool = False
+    seen_bytes: int = 0
+
+    @property
+    def received_bytes(self) -> int:
+        """Number of bytes of its response received so far."""
+        if self.connection is None or self.ended:
+            return 0
+        return self.connection.received_bytes
 
 
 class ConnectionPool:
@@ -275,6 +290,7 @@
                 free=self.release_connection,
                 lost=self.remove_connection,
                 budget=self._budget,
+                now=self._reactor.seconds,
             )
         )
         attempt = self._endpoint.connect(factory)
@@ -343,10 +359,23 @@
                 ),
             )
             return
+        if call.stall_s is not None and self._is_arriving(call):
+            call.timer = self._reactor.callLater(
+                call.stall_s, self._time_out, call
+            )
+            return
         connection = call.connection
         self._end_call(call, CallFailed(sent=True, reason="timed out"))
         connection.transport.abortConnection()
 
+    def _is_arriving(self, call: PooledCall) -> bool:
+        """Tell whether more of a response came since this was asked last."""
+        former, call.seen_bytes = call.seen_bytes, call.received_bytes
+        if call.connection is None or call.seen_bytes == former:
+            return False
+        elapsed_s = self._reactor.seconds() - call.connection.began_at
+        return bool(elapsed_s < MAX_TRANSFER_S)
+
     def _end_call(self, call: PooledCall, end: CallEnd) -> None:
         if call.ended:
             return
--- a/packages/bluebellbay/bluebellbay/transport/store.py
+++ b/packages/bluebellbay/bluebellbay/transport/store.py
@@ -10,6 +10,9 @@
 if TYPE_CHECKING:
     from bluebellbay.transport.store_era import StoreEras
 
+# An answer that is arriving is waited for, unless no byte comes for so long.
+STALL_S = 1.5
+
 
 class StoreUnavailable(Exception):
     """The store did not answer, or its answer can't be decoded."""
@@ -47,10 +50,14 @@
 
     :param items: The changes, in order.
     :param revision: Revision after which to watch for changes.
+    :param began_at: Time in seconds when the answer began to arrive, of the
+        reactor's clock; none if it came at once. What the store accepted
+        since is not in it.
     """
 
     items: tuple[StoreItem, ...]
     revision: int
+    began_at: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -97,6 +104,14 @@
         :returns: The item, or ``None`` if there is none.
         """
 
+    @abc.abstractmethod
+    async def read_prefix(self, prefix: str) -> tuple[StoreItem, ...]:
+        """Read the items whose keys begin so, one page of them at most.
+
+        :param prefix: How the keys begin.
+        :returns: The items.
+        """
+
     @abc.abstractmethod
     async def watch(self, after: int, wait_s: float) -> StoreItems:
         """Wait for changes to any key.
@@ -108,6 +123,10 @@
             after the revision.
         """
 
+    def count_watch_bytes(self) -> int:
+        """Count the bytes received of the answer to the watch under way."""
+        return 0
+
     @abc.abstractmethod
     async def read_revision(self) -> int:
         """Read the revision of the store itself, not of a copy.
--- a/packages/bluebellbay/bluebellbay/transport/watch_guard.py
+++ b/packages/bluebellbay/bluebellbay/transport/watch_guard.py
@@ -7,13 +7,14 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
+from bluebellbay.transport.store import STALL_S
 from bluebellbay.transport.store import StoreClient
 from bluebellbay.transport.store import StoreItems
 from bluebellbay.transport.store import StoreRestored
 from bluebellbay.transport.store import StoreUnavailable
 from bluebellbay.transport.store_age import StoreAge
 
-# The answer of a watch takes no longer on its way than that of a check.
+# The answer of a watch begins to arrive no later than that of a check.
 ANSWER_GRACE_S = 0.5
 
 
@@ -24,10 +25,15 @@
     without changes. So the store itself is asked for its revision before what
     is known gets too old. A copy would show a loss later by its own age.
 
+    A large answer on a slow link is no lost one: a watch whose answer is
+    arriving goes on, as the next one would have to bring the same.
+
     :param reactor: Twisted reactor.
     :param client: Makes the calls to the store.
     :param age: Told when a check shows that nothing was missed.
     :param report_answer: Called with each answer of the store.
+    :param report_late: Called at each check that finds the watch's answer
+        still arriving.
     """
 
     def __init__(
@@ -37,7 +43,9 @@
         client: StoreClient,
         age: StoreAge,
         report_answer: Callable[[], None],
+        report_late: Callable[[], None],
     ) -> None:
+        self._report_late = report_late
         self._report_answer = report_answer
         self._reactor = reactor
         self._client = client
@@ -114,6 +122,7 @@
 
     async def _find_fault(self, after: int) -> str | None:
         asked_at = self._reactor.seconds()
+        received = self._client.count_watch_bytes()
         try:
             revision = await self._client.read_revision()
         except CancelledError:
@@ -122,10 +131,22 @@
             # The watch is interrupted.
             return None
         except Exception as error:
+            if self._client.count_watch_bytes() > received:
+                return None
             return f"a check failed: {error}"
         self._report_answer()
         if revision <= after:
             self._age.confirm(asked_at)
             return None
-        await deferLater(self._reactor, ANSWER_GRACE_S)
+        if await self._is_arriving():
+            self._report_late()
+            return None
         return f"the watch did not report revision {revision}"
+
+    async def _is_arriving(self) -> bool:
+        """Tell whether more of the watch's answer comes within its time."""
+        received = self._client.count_watch_bytes()
+        await deferLater(self._reactor, ANSWER_GRACE_S)
+        if received and self._client.count_watch_bytes() == received:
+            await deferLater(self._reactor, STALL_S - ANSWER_GRACE_S)
+        return self._client.count_watch_bytes() > received
