Check a late watch by the interval between checks, not after them

Cause: the interval counted from the end of a check, 0.5 s of grace and the link's queue included, so that two reads of the configuration were up to 2.5 s apart; and the grace was waited for also when bytes had come during the check.

--- a/packages/bluebellbay/bluebellbay/transport/watch_guard.py
+++ b/packages/bluebellbay/bluebellbay/transport/watch_guard.py
@@ -116,8 +116,10 @@
     ) -> None:
         while self._fault is None:
             await deferLater(self._reactor, delay_s)
+            checked_at = self._reactor.seconds()
             self._fault = await self._find_fault(after)
-            delay_s = interval_s
+            elapsed_s = self._reactor.seconds() - checked_at
+            delay_s = max(0.0, interval_s - elapsed_s)
         watch.cancel()
 
     async def _find_fault(self, after: int) -> str | None:
@@ -138,14 +140,18 @@
         if revision <= after:
             self._age.confirm(asked_at)
             return None
-        if await self._is_arriving():
+        if await self._is_arriving(received):
             self._report_late()
             return None
         return f"the watch did not report revision {revision}"
 
-    async def _is_arriving(self) -> bool:
-        """Tell whether more of the watch's answer comes within its time."""
-        received = self._client.count_watch_bytes()
+    async def _is_arriving(self, received: int) -> bool:
+        """Tell whether more of the watch's answer comes within its time.
+
+        :param received: Bytes of it that had come before the check.
+        """
+        if self._client.count_watch_bytes() > received:
+            return True
         await deferLater(self._reactor, ANSWER_GRACE_S)
         if received and self._client.count_watch_bytes() == received:
             await deferLater(self._reactor, STALL_S - ANSWER_GRACE_S)
